--- /dev/null
+++ b/cmd/primrose/main.go
@@ -0,0 +1,10 @@
+// Command primrose is the tool of operators.
+package main
+
+import (
+	"os"
+
+	"github.com/primrosewall/primrosewall/pkg/commander"
+)
+
+func main() { os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/pkg/caller/caller.go
@@ -0,0 +1,98 @@
+// Package caller sends control messages to other nodes over mutual TLS.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// idlePerNode bounds the idle connections to one node.
+	idlePerNode = 2
+	// idleTotal bounds them over all nodes.
+	idleTotal   = 256
+	idleTimeout = 30 * time.Second
+	// handshakeTimeout bounds the set-up of a connection.
+	handshakeTimeout = time.Second
+)
+
+// Caller makes the clients of other nodes by address. It carries the
+// messages of the replicator, the deduplicator, the limiter and the gossiper.
+type Caller struct {
+	client *http.Client
+
+	mu       sync.Mutex
+	replicas map[string]control.Replica
+	peers    map[string]control.Peer
+}
+
+// New makes a caller.
+func New(settings *tls.Config) *Caller {
+	transport := &http.Transport{
+		TLSClientConfig: settings, TLSHandshakeTimeout: handshakeTimeout,
+		MaxIdleConns: idleTotal, MaxIdleConnsPerHost: idlePerNode, IdleConnTimeout: idleTimeout,
+	}
+	return &Caller{
+		client:   &http.Client{Transport: transport},
+		replicas: map[string]control.Replica{}, peers: map[string]control.Peer{},
+	}
+}
+
+// Replica returns the client of a replica.
+func (c *Caller) Replica(address string) control.Replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.replicas[address]
+	if !ok {
+		r = control.NewReplicaProtobufClient("https://"+address, c.client)
+		c.replicas[address] = r
+	}
+	return r
+}
+
+// Peer returns the client of a node.
+func (c *Caller) Peer(address string) control.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = control.NewPeerProtobufClient("https://"+address, c.client)
+		c.peers[address] = p
+	}
+	return p
+}
+
+// Prepare implements replicator.Network.
+func (c *Caller) Prepare(ctx context.Context, address string, r *control.PrepareRequest) (*control.PrepareReply, error) {
+	return c.Replica(address).Prepare(ctx, r)
+}
+
+// Accept implements replicator.Network.
+func (c *Caller) Accept(ctx context.Context, address string, r *control.AcceptRequest) (*control.AcceptReply, error) {
+	return c.Replica(address).Accept(ctx, r)
+}
+
+// Install implements replicator.Network.
+func (c *Caller) Install(ctx context.Context, address string, r *control.InstallRequest) (*control.InstallReply, error) {
+	return c.Replica(address).Install(ctx, r)
+}
+
+// Claim implements deduplicator.Replicas.
+func (c *Caller) Claim(ctx context.Context, address string, r *control.ClaimRequest) (*control.ClaimReply, error) {
+	return c.Replica(address).Claim(ctx, r)
+}
+
+// Settle implements deduplicator.Replicas.
+func (c *Caller) Settle(ctx context.Context, address string, r *control.SettleRequest) (*control.SettleReply, error) {
+	return c.Replica(address).Settle(ctx, r)
+}
+
+// Sync implements gossiper.Syncer.
+func (c *Caller) Sync(ctx context.Context, address string, r *control.SyncRequest) (*control.SyncReply, error) {
+	return c.Peer(address).Sync(ctx, r)
+}
--- /dev/null
+++ b/pkg/commander/confirm.go
@@ -0,0 +1,57 @@
+package commander
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+var confirmPage = page{
+	name:  "confirm",
+	short: "Put a plan into force. It is safe to confirm again after a lost answer.",
+	usage: "primrose confirm [flags] ID",
+}
+
+func runConfirm(t *terminal, args []string) int {
+	var c connection
+	var keep folder
+	f := t.flags(confirmPage)
+	c.register(f)
+	f.StringVar(&keep.path, "plans", defaultFolder(), "`folder` that keeps plans until they are confirmed")
+	f.Lookup("plans").DefValue = ""
+	if code, ok := t.parsed(f, args, 1, 1); !ok {
+		return code
+	}
+	p, err := keep.load(f.Arg(0))
+	if err != nil {
+		return t.fail(err)
+	}
+	client, err := c.client()
+	if err != nil {
+		return t.fail(err)
+	}
+	ctx, cancel := callContext()
+	defer cancel()
+	reply, err := client.Confirm(ctx, &control.ConfirmRequest{Id: p.ID, Base: p.Base, Declaration: p.Declaration})
+	return t.proposed(reply, err)
+}
+
+// proposed reports how a change went.
+func (t *terminal) proposed(reply *control.ProposeReply, err error) int {
+	switch {
+	case err != nil:
+		return t.fail(err)
+	case reply.Conflict != nil:
+		w := reply.Conflict
+		fmt.Fprintf(t.err, "primrose: conflict: %s made version %d at %s; plan again\n", w.Operator, w.Version, time.Unix(0, w.Time).UTC().Format(time.RFC3339))
+		return exitConflict
+	case reply.Refused != "":
+		return t.fail(fmt.Errorf("%s", reply.Refused))
+	case reply.Repeated:
+		fmt.Fprintf(t.out, "version %d holds this change already\n", reply.Version)
+	default:
+		fmt.Fprintf(t.out, "version %d is accepted\n", reply.Version)
+	}
+	return exitGood
+}
--- /dev/null
+++ b/pkg/commander/plan.go
@@ -0,0 +1,117 @@
+package commander
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+var planPage = page{
+	name:  "plan",
+	short: "Show what a declaration would change, and give the plan an id.",
+	usage: "primrose plan [flags] FILE",
+}
+
+// folder is where plans wait for their confirmation.
+type folder struct{ path string }
+
+// savedPlan is a plan on its way to be confirmed.
+type savedPlan struct {
+	ID          string          `json:"id"`
+	Base        uint64          `json:"base"`
+	Declaration json.RawMessage `json:"declaration"`
+}
+
+func defaultFolder() string {
+	base, err := os.UserCacheDir()
+	if err != nil {
+		base = os.TempDir()
+	}
+	return filepath.Join(base, "primrose")
+}
+
+func (f folder) file(id string) string { return filepath.Join(f.path, id+".json") }
+
+func (f folder) save(p *savedPlan) error {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return fmt.Errorf("encode plan: %w", err)
+	}
+	if err := os.MkdirAll(f.path, 0o700); err != nil {
+		return fmt.Errorf("keep plan: %w", err)
+	}
+	if err := os.WriteFile(f.file(p.ID), text, 0o600); err != nil {
+		return fmt.Errorf("keep plan: %w", err)
+	}
+	return nil
+}
+
+func (f folder) load(id string) (*savedPlan, error) {
+	text, err := os.ReadFile(f.file(filepath.Base(id)))
+	if err != nil {
+		return nil, fmt.Errorf("no plan %s here; make it with primrose plan: %w", id, err)
+	}
+	p := &savedPlan{}
+	if err := json.Unmarshal(text, p); err != nil {
+		return nil, fmt.Errorf("plan %s is damaged: %w", id, err)
+	}
+	return p, nil
+}
+
+func runPlan(t *terminal, args []string) int {
+	var c connection
+	var keep folder
+	f := t.flags(planPage)
+	c.register(f)
+	f.StringVar(&keep.path, "plans", defaultFolder(), "`folder` that keeps plans until they are confirmed")
+	f.Lookup("plans").DefValue = ""
+	if code, ok := t.parsed(f, args, 1, 1); !ok {
+		return code
+	}
+	source, err := os.ReadFile(f.Arg(0))
+	if err != nil {
+		return t.fail(err)
+	}
+	declaration, err := declarer.Parse(f.Arg(0), source)
+	if err != nil {
+		return t.fail(err)
+	}
+	canonical, err := declaration.Canonical()
+	if err != nil {
+		return t.fail(err)
+	}
+	return t.plan(&c, keep, canonical)
+}
+
+// plan has a node plan a declaration, shows it and keeps it.
+func (t *terminal) plan(c *connection, keep folder, canonical []byte) int {
+	client, err := c.client()
+	if err != nil {
+		return t.fail(err)
+	}
+	ctx, cancel := callContext()
+	defer cancel()
+	reply, err := client.Plan(ctx, &control.PlanRequest{Declaration: canonical})
+	if err != nil {
+		return t.fail(err)
+	}
+	if reply.Refused != "" {
+		return t.fail(fmt.Errorf("%s", reply.Refused))
+	}
+	if err := keep.save(&savedPlan{ID: reply.Id, Base: reply.Base, Declaration: canonical}); err != nil {
+		return t.fail(err)
+	}
+	fmt.Fprintf(t.out, "plan %s on version %d\n", reply.Id, reply.Base)
+	for _, line := range reply.Lines {
+		fmt.Fprintln(t.out, "  "+line)
+	}
+	if len(reply.Lines) == 0 {
+		fmt.Fprintln(t.out, "  nothing changes")
+	}
+	fmt.Fprintf(t.out, "to put it into force: primrose confirm %s\n", reply.Id)
+	return exitGood
+}
--- /dev/null
+++ b/pkg/commander/status.go
@@ -0,0 +1,89 @@
+package commander
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+var statusPage = page{
+	name:  "status",
+	short: "Show the version in force at each instance, and the replicas.",
+	usage: "primrose status [flags]",
+}
+
+func runStatus(t *terminal, args []string) int {
+	var c connection
+	f := t.flags(statusPage)
+	c.register(f)
+	asJSON := f.Bool("json", false, "write JSON")
+	if code, ok := t.parsed(f, args, 0, 0); !ok {
+		return code
+	}
+	client, err := c.client()
+	if err != nil {
+		return t.fail(err)
+	}
+	ctx, cancel := callContext()
+	defer cancel()
+	reply, err := client.Status(ctx, &control.StatusRequest{})
+	if err != nil {
+		return t.fail(err)
+	}
+	if *asJSON {
+		encoder := json.NewEncoder(t.out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(reply); err != nil {
+			return t.fail(err)
+		}
+		return exitGood
+	}
+	t.showStatus(reply)
+	return exitGood
+}
+
+func (t *terminal) showStatus(reply *control.StatusReply) {
+	behind := 0
+	table := tabwriter.NewWriter(t.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "CENTRE\tINSTANCE\tSTATE\tSERVICE\tSLOTS\tVERSION\tREPLICA")
+	for _, e := range reply.Entries {
+		version := fmt.Sprint(e.Version)
+		if e.Version < reply.Version {
+			behind++
+			version += " behind"
+		}
+		if e.Version == 0 {
+			version = "unknown"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", e.Centre, e.Instance, stateName(e.State), orDash(e.Service), e.Slots, version, orDash(replicaName(reply, e)))
+	}
+	table.Flush()
+	fmt.Fprintf(t.out, "version %d, in force at %d of %d instances; %d replicas in epoch %d\n",
+		reply.Version, len(reply.Entries)-behind, len(reply.Entries), len(reply.Replicas), reply.Epoch)
+}
+
+func replicaName(reply *control.StatusReply, e *control.Entry) string {
+	for _, m := range reply.Replicas {
+		if m.Address == e.Address {
+			return m.Identity
+		}
+	}
+	if e.Replica {
+		return "not in the set"
+	}
+	return ""
+}
+
+func stateName(s control.State) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "STATE_"))
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/declarer/declarer.go
@@ -0,0 +1,239 @@
+// Package declarer holds what operators declare: data centres, teams with the
+// hashes of their keys, limits, and routes. A declaration lives in version
+// control, so it never holds a key.
+package declarer
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/primrosewall/primrosewall/pkg/decoder"
+)
+
+const (
+	// MaxRate is the highest rate a team can have, in requests per second.
+	MaxRate = 10_000_000
+	// MaxRetries is the highest number of retries for one root request.
+	MaxRetries = 10
+	// DefaultRetries is used by routes that name no number.
+	DefaultRetries = 3
+	// DefaultTimeout in milliseconds is used by routes that name none.
+	DefaultTimeout = 10_000
+	// MaxTimeout in milliseconds bounds a route's timeout.
+	MaxTimeout = 3_600_000
+)
+
+// Declaration is everything that operators declare. The zero value is a valid
+// declaration that serves nothing.
+type Declaration struct {
+	// Centres maps each data centre to its witnesses and share.
+	Centres map[string]Centre `json:"centres"`
+	Teams   map[string]Team   `json:"teams"`
+	Routes  []Route           `json:"routes"`
+}
+
+// Centre is a data centre.
+type Centre struct {
+	// Witnesses are the instances that vote for the holder of the buckets.
+	Witnesses []string `json:"witnesses"`
+	// Share is the weight of the data centre when limits are divided.
+	Share float64 `json:"share,omitempty"`
+}
+
+// Team is a tenant with its keys and limit.
+type Team struct {
+	// Keys are SHA-256 hashes as written by "primrose key give".
+	Keys []string `json:"keys"`
+	// Rate in requests per second over the whole fleet.
+	Rate float64 `json:"rate"`
+	// Burst in requests over the whole fleet.
+	Burst float64 `json:"burst"`
+}
+
+// Route says which service answers which requests, and how.
+type Route struct {
+	Name string `json:"name"`
+	// Methods that match; empty matches all.
+	Methods []string `json:"methods,omitempty"`
+	// Path is a prefix that ends at a path segment.
+	Path    string `json:"path"`
+	Service string `json:"service"`
+	// Important requests are shed last.
+	Important bool `json:"important,omitempty"`
+	// Open routes need no key.
+	Open bool `json:"open,omitempty"`
+	// Idempotent says that running a request twice does no harm. GET, HEAD
+	// and OPTIONS are idempotent in any case.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// Retries for one root request over the whole chain.
+	Retries *uint32 `json:"retries,omitempty"`
+	// Timeout in milliseconds.
+	Timeout int64 `json:"timeout,omitempty"`
+}
+
+// RetryCount returns the number of retries of a root request on this route.
+func (r *Route) RetryCount() uint32 {
+	if r.Retries == nil {
+		return DefaultRetries
+	}
+	return *r.Retries
+}
+
+// Parse reads a declaration and checks it.
+func Parse(file string, source []byte) (*Declaration, error) {
+	d := &Declaration{}
+	document, err := decoder.Decode(file, source, d)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.check(document); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Canonical returns the declaration as JSON with a fixed order of fields.
+func (d *Declaration) Canonical() ([]byte, error) {
+	text, err := json.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("encode declaration: %w", err)
+	}
+	return text, nil
+}
+
+func (d *Declaration) check(doc *decoder.Document) error {
+	for name, c := range d.Centres {
+		at := "centres/" + name
+		if len(c.Witnesses) == 0 {
+			return doc.Problem(at+"/witnesses", "is empty; name one, three or five instances")
+		}
+		if c.Share < 0 {
+			return doc.Problem(at+"/share", "is %v; a weight of 0 or more would be right (0 counts as 1)", c.Share)
+		}
+	}
+	if err := d.checkTeams(doc); err != nil {
+		return err
+	}
+	return d.checkRoutes(doc)
+}
+
+func (d *Declaration) checkTeams(doc *decoder.Document) error {
+	owners := map[string]string{}
+	for _, name := range d.TeamNames() {
+		t := d.Teams[name]
+		at := "teams/" + name
+		if name == "" || strings.ContainsAny(name, "/ \t\n") {
+			return doc.Problem(at, "is no team name; letters, digits, dots and dashes would be right")
+		}
+		if t.Rate < 0 || t.Rate > MaxRate {
+			return doc.Problem(at+"/rate", "is %v; 0 to %d requests per second would be right", t.Rate, MaxRate)
+		}
+		if t.Burst < 0 || t.Burst > MaxRate {
+			return doc.Problem(at+"/burst", "is %v; 0 to %d requests would be right", t.Burst, MaxRate)
+		}
+		if t.Rate > 0 && t.Burst < 1 {
+			return doc.Problem(at+"/burst", "is %v with a rate of %v; at least 1 would be right, or nothing is ever admitted", t.Burst, t.Rate)
+		}
+		for i, k := range t.Keys {
+			place := fmt.Sprintf("%s/keys/%d", at, i)
+			if !ValidHash(k) {
+				return doc.Problem(place, "is no key hash; take the sha256:... that \"primrose key give\" prints (never the key itself)")
+			}
+			if other, ok := owners[k]; ok {
+				return doc.Problem(place, "also stands in team %s; a key belongs to one team", other)
+			}
+			owners[k] = name
+		}
+	}
+	return nil
+}
+
+func (d *Declaration) checkRoutes(doc *decoder.Document) error {
+	names := map[string]bool{}
+	for i, r := range d.Routes {
+		at := fmt.Sprintf("routes/%d", i)
+		switch {
+		case r.Name == "":
+			return doc.Problem(at+"/name", "is empty; a short name of one word would be right")
+		case names[r.Name]:
+			return doc.Problem(at+"/name", "%q stands twice; names tell routes apart", r.Name)
+		case !strings.HasPrefix(r.Path, "/"):
+			return doc.Problem(at+"/path", "is %q; a path that begins with / would be right", r.Path)
+		case r.Service == "":
+			return doc.Problem(at+"/service", "is empty; the name that its targets announce would be right")
+		case r.Retries != nil && *r.Retries > MaxRetries:
+			return doc.Problem(at+"/retries", "is %d; 0 to %d would be right", *r.Retries, MaxRetries)
+		case r.Timeout < 0 || r.Timeout > MaxTimeout:
+			return doc.Problem(at+"/timeout", "is %d; 1 to %d milliseconds would be right, or 0 for the default of %d", r.Timeout, MaxTimeout, DefaultTimeout)
+		}
+		names[r.Name] = true
+	}
+	return nil
+}
+
+// TeamNames returns the names of all teams in order.
+func (d *Declaration) TeamNames() []string {
+	names := make([]string, 0, len(d.Teams))
+	for name := range d.Teams {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Share returns the part of every limit, from 0 to 1, that belongs to a data
+// centre. The shares of all data centres add up to 1.
+func (d *Declaration) Share(centre string) float64 {
+	c, ok := d.Centres[centre]
+	if !ok {
+		return 0
+	}
+	total := 0.0
+	for _, other := range d.Centres {
+		total += weight(other)
+	}
+	return weight(c) / total
+}
+
+func weight(c Centre) float64 {
+	if c.Share == 0 {
+		return 1
+	}
+	return c.Share
+}
+
+// HashKey returns the form of a key that a declaration holds.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hashPrefix + base64.RawURLEncoding.EncodeToString(sum[:])
+}
+
+const hashPrefix = "sha256:"
+
+// ValidHash tells whether text is the hash of a key.
+func ValidHash(text string) bool {
+	_, err := DecodeHash(text)
+	return err == nil
+}
+
+// DecodeHash returns the bytes of the hash of a key.
+func DecodeHash(text string) ([]byte, error) {
+	rest, ok := strings.CutPrefix(text, hashPrefix)
+	if !ok {
+		return nil, fmt.Errorf("hash %q does not begin with %s", text, hashPrefix)
+	}
+	sum, err := base64.RawURLEncoding.DecodeString(rest)
+	if err != nil || len(sum) != sha256.Size {
+		return nil, fmt.Errorf("hash %q is not %d bytes in base64", text, sha256.Size)
+	}
+	return sum, nil
+}
+
+// EncodeHash is the inverse of DecodeHash.
+func EncodeHash(sum []byte) string {
+	return hashPrefix + base64.RawURLEncoding.EncodeToString(sum)
+}
--- /dev/null
+++ b/pkg/declarer/differ.go
@@ -0,0 +1,133 @@
+package declarer
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// Diff says in lines what changes from old to next, in the operator's words.
+func Diff(old, next *Declaration) []string {
+	var lines []string
+	lines = append(lines, diffCentres(old, next)...)
+	lines = append(lines, diffTeams(old, next)...)
+	return append(lines, diffRoutes(old, next)...)
+}
+
+// PlanID names a plan: the same declaration on the same base version always
+// has the same id.
+func PlanID(base uint64, canonical []byte) string {
+	h := sha256.New()
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], base)
+	h.Write(number[:])
+	h.Write(canonical)
+	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:12])
+}
+
+func diffCentres(old, next *Declaration) []string {
+	return diffMaps("centre", old.Centres, next.Centres)
+}
+
+func diffTeams(old, next *Declaration) []string {
+	var lines []string
+	for _, name := range unionKeys(old.Teams, next.Teams) {
+		before, had := old.Teams[name]
+		after, has := next.Teams[name]
+		switch {
+		case !had:
+			lines = append(lines, fmt.Sprintf("+ team %s: rate %v/s, burst %v, %d keys", name, after.Rate, after.Burst, len(after.Keys)))
+		case !has:
+			lines = append(lines, fmt.Sprintf("- team %s: its %d keys stop working", name, len(before.Keys)))
+		default:
+			lines = append(lines, diffTeam(name, before, after)...)
+		}
+	}
+	return lines
+}
+
+func diffTeam(name string, before, after Team) []string {
+	var lines []string
+	if before.Rate != after.Rate {
+		lines = append(lines, fmt.Sprintf("~ team %s: rate %v/s -> %v/s", name, before.Rate, after.Rate))
+	}
+	if before.Burst != after.Burst {
+		lines = append(lines, fmt.Sprintf("~ team %s: burst %v -> %v", name, before.Burst, after.Burst))
+	}
+	for _, k := range missing(after.Keys, before.Keys) {
+		lines = append(lines, fmt.Sprintf("+ team %s: key %s", name, k))
+	}
+	for _, k := range missing(before.Keys, after.Keys) {
+		lines = append(lines, fmt.Sprintf("- team %s: key %s stops working", name, k))
+	}
+	return lines
+}
+
+func diffRoutes(old, next *Declaration) []string {
+	before, after := map[string]Route{}, map[string]Route{}
+	for _, r := range old.Routes {
+		before[r.Name] = r
+	}
+	for _, r := range next.Routes {
+		after[r.Name] = r
+	}
+	return diffMaps("route", before, after)
+}
+
+func diffMaps[V any](kind string, before, after map[string]V) []string {
+	var lines []string
+	for _, name := range unionKeys(before, after) {
+		b, had := before[name]
+		a, has := after[name]
+		was, is := encode(b), encode(a)
+		switch {
+		case !had:
+			lines = append(lines, fmt.Sprintf("+ %s %s: %s", kind, name, is))
+		case !has:
+			lines = append(lines, fmt.Sprintf("- %s %s", kind, name))
+		case was != is:
+			lines = append(lines, fmt.Sprintf("~ %s %s: %s -> %s", kind, name, was, is))
+		}
+	}
+	return lines
+}
+
+func encode(v any) string {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// missing returns what is in list and not in other.
+func missing(list, other []string) []string {
+	known := map[string]bool{}
+	for _, s := range other {
+		known[s] = true
+	}
+	var result []string
+	for _, s := range list {
+		if !known[s] {
+			result = append(result, s)
+		}
+	}
+	return result
+}
+
+func unionKeys[V any](a, b map[string]V) []string {
+	var keys []string
+	for k := range a {
+		keys = append(keys, k)
+	}
+	for k := range b {
+		if _, ok := a[k]; !ok {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/pkg/decoder/decoder.go
@@ -0,0 +1,191 @@
+// Package decoder reads JSON with comments strictly: an unknown field, a wrong
+// type or a bad value is reported with its line and what would be right.
+package decoder
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Problem is one mistake in a document.
+type Problem struct {
+	File string
+	Line int
+	// Field is the path of the value, such as teams/acme/rate.
+	Field string
+	// Text says what is wrong and what would be right.
+	Text string
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	if p.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Field, p.Text)
+}
+
+// Document is a parsed file that can still tell where each value stood.
+type Document struct {
+	file   string
+	source []byte
+	root   hujson.Value
+}
+
+// Decode parses source into target, a pointer to a struct, and refuses fields
+// that target does not have.
+func Decode(file string, source []byte, target any) (*Document, error) {
+	root, err := hujson.Parse(source)
+	if err != nil {
+		return nil, syntaxProblem(file, err)
+	}
+	d := &Document{file: file, source: append([]byte(nil), source...), root: root}
+	if err := d.check("", &d.root, reflect.TypeOf(target).Elem()); err != nil {
+		return nil, err
+	}
+	standard := root.Clone()
+	standard.Standardize()
+	if err := json.Unmarshal(standard.Pack(), target); err != nil {
+		return nil, d.typeProblem(err)
+	}
+	return d, nil
+}
+
+// Problem makes an error that points at the value at path.
+func (d *Document) Problem(path, format string, args ...any) error {
+	return &Problem{File: d.file, Line: d.line(path), Field: path, Text: fmt.Sprintf(format, args...)}
+}
+
+// line finds the line of the value at path, or of its nearest parent.
+func (d *Document) line(path string) int {
+	for ; path != ""; path = path[:max(strings.LastIndex(path, "/"), 0)] {
+		if v := d.root.Find("/" + path); v != nil {
+			return d.lineAt(v.StartOffset)
+		}
+	}
+	return d.lineAt(d.root.StartOffset)
+}
+
+func (d *Document) lineAt(offset int) int {
+	return 1 + strings.Count(string(d.source[:min(offset, len(d.source))]), "\n")
+}
+
+// check walks the document along the type and refuses unknown fields.
+func (d *Document) check(path string, v *hujson.Value, t reflect.Type) error {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch part := v.Value.(type) {
+	case *hujson.Object:
+		return d.checkObject(path, part, t)
+	case *hujson.Array:
+		if t.Kind() != reflect.Slice {
+			return nil
+		}
+		for i := range part.Elements {
+			if err := d.check(join(path, strconv.Itoa(i)), &part.Elements[i], t.Elem()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Document) checkObject(path string, o *hujson.Object, t reflect.Type) error {
+	if t.Kind() != reflect.Struct && t.Kind() != reflect.Map {
+		return nil
+	}
+	seen := map[string]bool{}
+	for i := range o.Members {
+		m := &o.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		at := join(path, name)
+		line := d.lineAt(m.Name.StartOffset)
+		if seen[name] {
+			return &Problem{File: d.file, Line: line, Field: at, Text: "stands twice; leave one of the two out"}
+		}
+		seen[name] = true
+		next, ok := memberType(t, name)
+		if !ok {
+			return &Problem{File: d.file, Line: line, Field: at, Text: "unknown field; known here are " + strings.Join(fieldNames(t), ", ")}
+		}
+		if err := d.check(at, &m.Value, next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func memberType(t reflect.Type, name string) (reflect.Type, bool) {
+	if t.Kind() == reflect.Map {
+		return t.Elem(), true
+	}
+	for i := range t.NumField() {
+		if fieldName(t.Field(i)) == name {
+			return t.Field(i).Type, true
+		}
+	}
+	return nil, false
+}
+
+func fieldName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+func fieldNames(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, fieldName(t.Field(i)))
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (d *Document) typeProblem(err error) error {
+	if e, ok := err.(*json.UnmarshalTypeError); ok {
+		path := strings.ReplaceAll(e.Field, ".", "/")
+		return d.Problem(path, "is a %s; a %s would be right", e.Value, kindName(e.Type))
+	}
+	return &Problem{File: d.file, Line: 1, Text: err.Error()}
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "object"
+	case reflect.Slice:
+		return "list"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64, reflect.Uint32, reflect.Float64:
+		return "number"
+	}
+	return t.Kind().String()
+}
+
+// syntaxProblem turns hujson's "line 3, column 4" into a Problem.
+func syntaxProblem(file string, err error) error {
+	text := strings.TrimPrefix(err.Error(), "hujson: ")
+	line := 1
+	if _, rest, ok := strings.Cut(text, "line "); ok {
+		number, _, _ := strings.Cut(rest, ",")
+		if n, err := strconv.Atoi(number); err == nil {
+			line = n
+		}
+	}
+	return &Problem{File: file, Line: line, Text: text}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "/" + name
+}
--- /dev/null
+++ b/pkg/forwarder/admit_filter.go
@@ -0,0 +1,55 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/admitter"
+)
+
+// admitFilter waits for a slot of the own target, or refuses at once when
+// there is no room or no time.
+type admitFilter struct{ forwarder *Forwarder }
+
+// Serve implements Filter.
+func (a *admitFilter) Serve(x *Exchange, next func(*Exchange)) {
+	deps := a.forwarder.deps
+	target := deps.Target()
+	if target == nil || target.Service != x.hop.Service || target.Closed {
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetWait, "instance has no target of service %s", x.hop.Service))
+		return
+	}
+	x.target = target
+	ctx, cancel := context.WithDeadline(x.Context(), x.deadline)
+	defer cancel()
+	ticket, err := deps.Admitter.Admit(ctx, x.hop.Team, priorityOf(x))
+	var load *admitter.LoadError
+	switch {
+	case err == nil:
+		x.ticket = ticket
+		next(x)
+	case errors.As(err, &load):
+		a.forwarder.count("refused_load")
+		a.setLevel(x)
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, load.Wait, "%v", load))
+	default:
+		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
+	}
+}
+
+func priorityOf(x *Exchange) admitter.Priority {
+	return admitter.NewPriority(x.hop.Important, x.hop.Depth > 0, x.hop.Root)
+}
+
+// setLevel tells the node before this one how many hashes out of 256 would be
+// refused here, or further down, for a request like this one.
+func (a *admitFilter) setLevel(x *Exchange) {
+	setLevel(x, a.forwarder.deps.Admitter.Level(), 0)
+}
+
+// millisecondsUp rounds up, so that a short time does not become none.
+func millisecondsUp(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/pkg/forwarder/claim_filter.go
@@ -0,0 +1,93 @@
+package forwarder
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// claimFilter claims the idempotency key of a request that must run at most
+// once, and answers later senders of the same key.
+type claimFilter struct{ forwarder *Forwarder }
+
+// runningWait is when the sender of a key that is in use may come back.
+const runningWait = time.Second
+
+// Serve implements Filter.
+func (c *claimFilter) Serve(x *Exchange, next func(*Exchange)) {
+	if x.idempotencyKey == "" {
+		next(x)
+		return
+	}
+	deps := c.forwarder.deps
+	if err := deduplicator.CheckKey(x.idempotencyKey, deps.Clock.Now()); err != nil {
+		x.refuse(refuse(http.StatusBadRequest, ReasonClaimed, 0, "%v", err))
+		return
+	}
+	name := deduplicator.Name(x.hop.Team, x.hop.Service, x.idempotencyKey)
+	claim, err := deps.Claimer.Take(x.Context(), name, x.hop.Digest)
+	var taken *deduplicator.TakenError
+	switch {
+	case err == nil:
+		x.conclude = func(r result) { conclude(x, claim, r) }
+		next(x)
+	case errors.As(err, &taken):
+		answerTaken(x, taken)
+	default:
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonQuorum, runningWait, "the key could not be claimed, so the request was not run: %v", err))
+	}
+}
+
+// conclude records how a claimed request ended. When that is unknown the
+// claim stands, and later senders are told so.
+func conclude(x *Exchange, claim *deduplicator.Claim, r result) {
+	switch r := r.(type) {
+	case *notRun:
+		claim.Release(x.Context())
+	case *answered:
+		claim.Finish(x.Context(), stored(r.answer))
+	case *broken:
+	}
+}
+
+func stored(a *Answer) *control.Answer {
+	s := &control.Answer{Status: uint32(a.status), Body: a.content, Cut: a.rest != nil}
+	for name, values := range a.header {
+		for _, v := range values {
+			s.Headers = append(s.Headers, &control.Header{Name: name, Value: v})
+		}
+	}
+	return s
+}
+
+// answerTaken gives a later sender the first answer, or says what is known.
+func answerTaken(x *Exchange, taken *deduplicator.TakenError) {
+	r := taken.Record
+	switch {
+	case taken.Differs:
+		x.refuse(refuse(http.StatusUnprocessableEntity, ReasonClaimed, 0, "this idempotency key was used for another request"))
+	case r.Done && !r.Answer.GetCut():
+		replay(x, r.Answer)
+	case r.Done:
+		x.refuse(&Refusal{Status: http.StatusConflict, Reason: ReasonClaimed, Outcome: Unknown,
+			Text: "a request with this idempotency key has run; its answer was too long to keep"})
+	default:
+		x.refuse(&Refusal{Status: http.StatusConflict, Reason: ReasonClaimed, Outcome: Unknown, Wait: runningWait,
+			Text: "a request with this idempotency key is running, or its answer was lost"})
+	}
+}
+
+func replay(x *Exchange, a *control.Answer) {
+	x.answered = true
+	h := x.writer.Header()
+	for _, header := range a.Headers {
+		h.Add(header.Name, header.Value)
+	}
+	h.Set(HeaderReplay, "first")
+	x.writer.WriteHeader(int(a.Status))
+	// A caller that has gone away needs no answer.
+	_, _ = x.writer.Write(a.Body)
+}
--- /dev/null
+++ b/pkg/forwarder/door_filter.go
@@ -0,0 +1,93 @@
+package forwarder
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/admitter"
+)
+
+// doorFilter refuses at the door what a service further down would refuse
+// later, before any work is spent on it. What the services would refuse comes
+// back with their answers.
+type doorFilter struct{ forwarder *Forwarder }
+
+// doorWait is when a caller refused at the door may come back.
+const doorWait = 500 * time.Millisecond
+
+// Serve implements Filter.
+func (d *doorFilter) Serve(x *Exchange, next func(*Exchange)) {
+	if x.parent == nil {
+		hash := int(admitter.NewPriority(false, false, x.hop.Root))
+		level := d.forwarder.levels.get(levelKeyOf(x), d.forwarder.deps.Clock.Now())
+		if hash < int(level) {
+			d.forwarder.count("refused_door")
+			x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, doorWait, "service %s, or one that it calls, is overloaded", x.route.Service))
+			return
+		}
+	}
+	next(x)
+}
+
+// levelKey tells levels apart: what a service refuses depends on the route of
+// the root request, since that decides which other services take part, and on
+// the importance.
+type levelKey struct {
+	service, route string
+	important      bool
+}
+
+func levelKeyOf(x *Exchange) levelKey {
+	return levelKey{x.hop.Service, x.hop.Route, x.hop.Important}
+}
+
+const (
+	// levelWeight is that of the newest report.
+	levelWeight = 0.3
+	// levelHold is how long a level stands without a report.
+	levelHold = 200 * time.Millisecond
+	// levelFade is how long it then takes to fade away.
+	levelFade = time.Second
+)
+
+// levels is what this node has heard of the levels of services, as the number
+// of hashes out of 256 that are refused. The zero value works.
+type levels struct {
+	mu     sync.Mutex
+	values map[levelKey]*reported
+}
+
+type reported struct {
+	value float64
+	at    time.Time
+}
+
+func (l *levels) report(key levelKey, value int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.values == nil {
+		l.values = map[levelKey]*reported{}
+	}
+	r, ok := l.values[key]
+	if !ok {
+		r = &reported{}
+		l.values[key] = r
+	}
+	r.value += levelWeight * (float64(value) - r.value)
+	r.at = now
+}
+
+func (l *levels) get(key levelKey, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.values[key]
+	if !ok {
+		return 0
+	}
+	age := now.Sub(r.at) - levelHold
+	if age <= 0 {
+		return r.value
+	}
+	return r.value * max(0, 1-age.Seconds()/levelFade.Seconds())
+}
--- /dev/null
+++ b/pkg/forwarder/exchange.go
@@ -0,0 +1,164 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// smallBody is the longest body that is held in memory, so that it can be
+	// sent again to another target.
+	smallBody = 16 << 10
+	// stallTime is how long a body may make no progress.
+	stallTime = 30 * time.Second
+)
+
+// Exchange is one request on its way through a chain of filters.
+type Exchange struct {
+	writer  http.ResponseWriter
+	request *http.Request
+	config  *enforcer.Config
+	began   time.Time
+
+	// keyHash is the hash of the key that the caller presented.
+	keyHash []byte
+	route   *declarer.Route
+	parent  *Flight
+	hop     *control.Hop
+	budget  *retrier.Budget
+	// deadline is when the answer must have begun.
+	deadline time.Time
+	// idempotencyKey is set for requests that must be claimed.
+	idempotencyKey string
+	// content is the whole body, when it is small; otherwise the body is
+	// streamed and can be sent once.
+	content  []byte
+	streamed bool
+	// touched tells that the streamed body has been read from.
+	touched bool
+	// conclude is called with how the request ended, before the answer goes
+	// out; it may be nil.
+	conclude func(result)
+	// cancel ends the request's context.
+	cancel context.CancelFunc
+	// atTarget tells that this is the target's node; target and ticket are set
+	// there.
+	atTarget bool
+	target   *Target
+	ticket   *admitter.Ticket
+	// answered tells that an answer has begun.
+	answered bool
+}
+
+// Context is the context of the request.
+func (x *Exchange) Context() context.Context { return x.request.Context() }
+
+// refuse ends the exchange with a refusal.
+func (x *Exchange) refuse(r *Refusal) {
+	if x.answered {
+		panic(http.ErrAbortHandler)
+	}
+	x.answered = true
+	if x.atTarget {
+		x.setRetries()
+	}
+	r.write(x.writer)
+}
+
+// left is the time until the deadline.
+func (x *Exchange) left(now time.Time) time.Duration { return x.deadline.Sub(now) }
+
+// readSmall takes a small body into memory.
+func (x *Exchange) readSmall() error {
+	length := x.request.ContentLength
+	if length == 0 || x.request.Body == nil || x.request.Body == http.NoBody {
+		x.content = []byte{}
+		return nil
+	}
+	if length < 0 || length > smallBody {
+		x.streamed = true
+		return nil
+	}
+	content := make([]byte, length)
+	if _, err := io.ReadFull(newStallReader(x.writer, x.request.Body), content); err != nil {
+		return err
+	}
+	x.content = content
+	return nil
+}
+
+// nextBody returns the body for one attempt.
+func (x *Exchange) nextBody() (io.ReadCloser, int64) {
+	if !x.streamed {
+		return plainBody{bytes.NewReader(x.content)}, int64(len(x.content))
+	}
+	return &touchBody{exchange: x, reader: newStallReader(x.writer, x.request.Body)}, x.request.ContentLength
+}
+
+// plainBody hides the reader's type, so that the transport cannot rewind it
+// and send a request again by itself.
+type plainBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (plainBody) Close() error { return nil }
+
+// touchBody notes that a streamed body has been read from.
+type touchBody struct {
+	exchange *Exchange
+	reader   io.Reader
+	once     sync.Once
+}
+
+// Read implements io.Reader.
+func (b *touchBody) Read(p []byte) (int, error) {
+	b.once.Do(func() { b.exchange.touched = true })
+	return b.reader.Read(p)
+}
+
+// Close implements io.Closer; the server closes the caller's body.
+func (b *touchBody) Close() error { return nil }
+
+// stallReader cuts a sender that makes no progress, but never one that does,
+// however long the body is.
+type stallReader struct {
+	control *http.ResponseController
+	reader  io.Reader
+}
+
+func newStallReader(w http.ResponseWriter, r io.Reader) *stallReader {
+	return &stallReader{control: http.NewResponseController(w), reader: r}
+}
+
+// Read implements io.Reader.
+func (s *stallReader) Read(p []byte) (int, error) {
+	// A writer without deadlines, as in tests, has no slow senders either.
+	_ = s.control.SetReadDeadline(time.Now().Add(stallTime))
+	n, err := s.reader.Read(p)
+	if err != nil {
+		_ = s.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// digest names a request for the search for crash causes and for claims: the
+// same team, method, path, idempotency key and body give the same digest.
+func (x *Exchange) digest(team string) []byte {
+	h := sha256.New()
+	for _, part := range []string{team, x.request.Method, x.request.URL.RequestURI(), x.request.Header.Get(headerIdempotency)} {
+		io.WriteString(h, part)
+		h.Write([]byte{0})
+	}
+	h.Write(x.content)
+	return h.Sum(nil)[:16]
+}
--- /dev/null
+++ b/pkg/forwarder/flights.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// Flight is a request that the own target is running. Its id dies with it.
+type Flight struct {
+	ctx      context.Context
+	id       string
+	hop      *control.Hop
+	budget   *retrier.Budget
+	deadline time.Time
+	began    time.Time
+
+	mu sync.Mutex
+	// calls is the time during which at least one call was running.
+	calls   time.Duration
+	running int
+	since   time.Time
+	// level is the highest that a call met further down.
+	level int
+}
+
+// beginCall notes that the target waits for a call.
+func (f *Flight) beginCall(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running == 0 {
+		f.since = now
+	}
+	f.running++
+}
+
+func (f *Flight) endCall(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running--
+	if f.running == 0 {
+		f.calls += now.Sub(f.since)
+	}
+}
+
+func (f *Flight) callTime() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+func (f *Flight) raiseLevel(level int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.level = max(f.level, level)
+}
+
+func (f *Flight) heardLevel() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.level
+}
+
+// flights are the requests that the own target is running.
+type flights struct {
+	mu   sync.Mutex
+	byID map[string]*Flight
+	// failed lists the digests of requests whose connection broke lately.
+	failed []failure
+}
+
+type failure struct {
+	digest []byte
+	at     time.Time
+}
+
+// failureMemory is how long a broken connection counts as part of a crash.
+const failureMemory = time.Second
+
+func (f *flights) add(fl *Flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.byID == nil {
+		f.byID = map[string]*Flight{}
+	}
+	f.byID[fl.id] = fl
+}
+
+func (f *flights) remove(fl *Flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.byID, fl.id)
+}
+
+func (f *flights) find(id string) *Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byID[id]
+}
+
+func (f *flights) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.byID)
+}
+
+// broke notes that the connection of a request broke.
+func (f *flights) broke(digest []byte, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = append(f.failed, failure{digest, now})
+}
+
+// atCrash returns the requests that were running at a crash: those whose
+// connections have just broken and those still noted as running.
+func (f *flights) atCrash(now time.Time) [][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := map[string]bool{}
+	for _, failed := range f.failed {
+		if now.Sub(failed.at) <= failureMemory {
+			seen[string(failed.digest)] = true
+		}
+	}
+	for _, fl := range f.byID {
+		seen[string(fl.hop.Digest)] = true
+	}
+	f.failed = nil
+	var list [][]byte
+	for d := range seen {
+		list = append(list, []byte(d))
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/forwarder/forwarder.go
@@ -0,0 +1,159 @@
+package forwarder
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"expvar"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/quarantiner"
+	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/pkg/router"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/pkg/withdrawer"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// Target is the own target as it announced itself.
+type Target struct {
+	Service string
+	Address string
+	Slots   int
+	// Life names one start of the target.
+	Life string
+	// Closed tells that a leaving target takes no more requests.
+	Closed bool
+}
+
+// Limiter spends one token of a team, or returns a *limiter.RateError.
+type Limiter interface {
+	Spend(ctx context.Context, team string) error
+}
+
+// Deps is what the data path needs of the rest of the node.
+type Deps struct {
+	Clock      timekeeper.Clock
+	Log        *slog.Logger
+	Config     *enforcer.Enforcer
+	Withdrawn  *withdrawer.Withdrawer
+	Quarantine *quarantiner.Quarantiner
+	Limiter    Limiter
+	Claimer    *deduplicator.Claimer
+	Router     *router.Router
+	Admitter   *admitter.Admitter
+	// Link reaches other nodes, TargetLink the own target.
+	Link, TargetLink http.RoundTripper
+	// Targets lists the targets of a service that take new work.
+	Targets func(service string) []*control.Entry
+	// Target is the own target, or nil.
+	Target func() *Target
+	// Ready tells whether the configuration is known well enough to serve.
+	Ready func() bool
+	// InContact tells whether a replica was heard of within the bound.
+	InContact func() bool
+	// Suspect hears that a target's connection broke.
+	Suspect func(*Target)
+	// Completed hears of every request that a target has answered.
+	Completed func(digest []byte)
+	// Draining tells that the node is about to stop.
+	Draining func() bool
+	// Metrics counts events; it may be nil.
+	Metrics *expvar.Map
+}
+
+// Forwarder is the data path of one node.
+type Forwarder struct {
+	deps    Deps
+	edges   retrier.Edges
+	levels  levels
+	flights flights
+	entry   func(*Exchange)
+	hop     func(*Exchange)
+}
+
+// New builds both chains.
+func New(deps Deps) *Forwarder {
+	f := &Forwarder{deps: deps}
+	f.entry = chain(f.entryFilters())
+	f.hop = chain(f.hopFilters())
+	return f
+}
+
+func (f *Forwarder) count(name string) {
+	if f.deps.Metrics != nil {
+		f.deps.Metrics.Add(name, 1)
+	}
+}
+
+// newID returns a name that nobody can guess.
+func (f *Forwarder) newID() string {
+	var raw [16]byte
+	// The system's source never fails.
+	_, _ = rand.Read(raw[:])
+	return base64.RawURLEncoding.EncodeToString(raw[:])
+}
+
+// Inflight is how many requests the own target is running.
+func (f *Forwarder) Inflight() int { return f.flights.count() }
+
+// AtCrash returns the digests of the requests running at a crash just now.
+func (f *Forwarder) AtCrash() [][]byte { return f.flights.atCrash(f.deps.Clock.Now()) }
+
+// ServeHTTP serves callers, and the own target's calls.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.count("requests")
+	if f.deps.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &Exchange{writer: w, request: r, config: f.deps.Config.Current(), began: f.deps.Clock.Now(), hop: newHop()}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	x.request = r.WithContext(ctx)
+	x.cancel = cancel
+	f.entry(x)
+}
+
+// ServeHop serves requests that other nodes send to the own target. Only
+// holders of the fleet secret get here.
+func (f *Forwarder) ServeHop(w http.ResponseWriter, r *http.Request) {
+	f.count("hops")
+	hop, err := decodeHop(r.Header.Get(headerHop))
+	if err != nil {
+		refuse(http.StatusBadRequest, ReasonRequest, 0, "the message between nodes is damaged").write(w)
+		return
+	}
+	removeOwn(r.Header)
+	now := f.deps.Clock.Now()
+	x := &Exchange{
+		writer: w, request: r, config: f.deps.Config.Current(), began: now, hop: hop, atTarget: true,
+		budget: retrier.NewBudget(hop.Retries), deadline: now.Add(time.Duration(hop.Timeout) * time.Microsecond),
+	}
+	if length := r.ContentLength; length < 0 || length > smallBody {
+		x.streamed = true
+	} else if err := x.readSmall(); err != nil {
+		x.refuse(refuseBody(err))
+		return
+	}
+	f.hop(x)
+}
+
+// IsHop tells whether a request on the nodes' listener belongs to the data
+// path.
+func IsHop(r *http.Request) bool { return r.Header.Get(headerHop) != "" }
+
+func decodeHop(text string) (*control.Hop, error) {
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return nil, err
+	}
+	hop := &control.Hop{}
+	return hop, proto.Unmarshal(raw, hop)
+}
--- /dev/null
+++ b/pkg/forwarder/key_filter.go
@@ -0,0 +1,42 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+)
+
+// keyFilter finds the team of the caller's key. The key is looked up with
+// every request, so a withdrawal also meets callers that are connected.
+type keyFilter struct{ forwarder *Forwarder }
+
+// Serve implements Filter.
+func (k *keyFilter) Serve(x *Exchange, next func(*Exchange)) {
+	if x.parent != nil {
+		next(x)
+		return
+	}
+	team, refusal := k.team(x)
+	if refusal != nil && !x.route.Open {
+		x.refuse(refusal)
+		return
+	}
+	x.hop.Team = team
+	next(x)
+}
+
+func (k *keyFilter) team(x *Exchange) (string, *Refusal) {
+	if x.keyHash == nil {
+		return "", refuse(http.StatusUnauthorized, ReasonKey, 0, "this route needs a key; send it as Authorization: Bearer KEY")
+	}
+	if k.forwarder.deps.Withdrawn.Has(x.keyHash) {
+		return "", refuse(http.StatusUnauthorized, ReasonKey, 0, "this key was withdrawn")
+	}
+	team, ok := x.config.Team(x.keyHash)
+	if !ok {
+		return "", refuse(http.StatusUnauthorized, ReasonKey, 0, "this key is not known")
+	}
+	if !k.forwarder.deps.InContact() {
+		return "", refuse(http.StatusServiceUnavailable, ReasonContact, time.Second, "this node has been without contact to any replica for longer than its settings allow")
+	}
+	return team, nil
+}
--- /dev/null
+++ b/pkg/forwarder/links.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	idleTimeout = 60 * time.Second
+	// linkIdle bounds the idle connections to one other node.
+	linkIdle = 32
+	// neverContinue makes a sender wait for the other node's word before it
+	// sends a long body.
+	neverContinue = time.Hour
+	// maxAnswerHeader bounds the headers of an answer, in bytes.
+	maxAnswerHeader = 256 << 10
+)
+
+// countedConn counts what was written to a connection.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn. The bytes count before they are written: once
+// handed to the system they may arrive whatever it says.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+func dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c}, nil
+}
+
+// NewLink makes the transport to other nodes.
+func NewLink(settings *tls.Config) *http.Transport {
+	return &http.Transport{
+		DialContext: dialCounted, TLSClientConfig: settings, TLSHandshakeTimeout: dialTimeout,
+		MaxIdleConnsPerHost: linkIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		ExpectContinueTimeout: neverContinue, MaxResponseHeaderBytes: maxAnswerHeader,
+	}
+}
+
+// NewTargetLink makes the transport to the own target, with a bound on its
+// connections.
+func NewTargetLink(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext: dialCounted, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
+	}
+}
+
+// sent watches whether a byte of a request has gone out.
+type sent struct {
+	conn  atomic.Pointer[countedConn]
+	start atomic.Int64
+	// again tells that the transport took a second connection.
+	again atomic.Bool
+}
+
+// watch returns a context with which a request is watched.
+func (s *sent) watch(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.got})
+}
+
+func (s *sent) got(info httptrace.GotConnInfo) {
+	raw := info.Conn
+	if t, ok := raw.(*tls.Conn); ok {
+		raw = t.NetConn()
+	}
+	c, ok := raw.(*countedConn)
+	if !ok {
+		return
+	}
+	if s.any() {
+		s.again.Store(true)
+	}
+	s.start.Store(c.written.Load())
+	s.conn.Store(c)
+}
+
+// any tells whether a byte of the request may have gone out.
+func (s *sent) any() bool {
+	if s.again.Load() {
+		return true
+	}
+	c := s.conn.Load()
+	return c != nil && c.written.Load() > s.start.Load()
+}
+
+// once makes a request that the transport cannot send again by itself. It
+// would otherwise do so after a broken connection for methods such as GET and
+// for any request with an idempotency key and no body. A body without
+// GetBody rules that out; methods that usually have no body are read ahead
+// and still go out without one. For the others the header's name is spelled
+// so that the transport does not know it; names are case-insensitive.
+func once(r *http.Request) {
+	r.GetBody = nil
+	if r.ContentLength != 0 {
+		return
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+		r.Body = emptyBody{}
+	default:
+		r.Body = http.NoBody
+	}
+	for _, name := range []string{headerIdempotency, "X-Idempotency-Key"} {
+		if values, ok := r.Header[name]; ok {
+			delete(r.Header, name)
+			r.Header[lowerName[name]] = values
+		}
+	}
+}
+
+var lowerName = map[string]string{headerIdempotency: "idempotency-key", "X-Idempotency-Key": "x-idempotency-key"}
+
+// emptyBody is a body without content that is not http.NoBody.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, errEOF }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
--- /dev/null
+++ b/pkg/forwarder/poison_filter.go
@@ -0,0 +1,35 @@
+package forwarder
+
+import (
+	"errors"
+	"net/http"
+	"os"
+)
+
+// poisonFilter refuses requests that were present at two crashes of targets.
+// On the entry node it also takes small bodies into memory, since the body is
+// part of what names a request.
+type poisonFilter struct{ forwarder *Forwarder }
+
+// Serve implements Filter.
+func (p *poisonFilter) Serve(x *Exchange, next func(*Exchange)) {
+	if x.hop.Digest == nil {
+		if err := x.readSmall(); err != nil {
+			x.refuse(refuseBody(err))
+			return
+		}
+		x.hop.Digest = x.digest(x.hop.Team)
+	}
+	if p.forwarder.deps.Quarantine.Barred(x.hop.Digest) {
+		x.refuse(refuse(http.StatusUnprocessableEntity, ReasonPoison, 0, "this request was running when targets crashed, more than once; it is refused for good"))
+		return
+	}
+	next(x)
+}
+
+func refuseBody(err error) *Refusal {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refuse(http.StatusRequestTimeout, ReasonRequest, 0, "the body made no progress for %v", stallTime)
+	}
+	return refuse(http.StatusBadRequest, ReasonRequest, 0, "the body ended early")
+}
--- /dev/null
+++ b/pkg/forwarder/rate_filter.go
@@ -0,0 +1,35 @@
+package forwarder
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/limiter"
+)
+
+// rateFilter spends one token of the team for a root request. Calls further
+// down belong to a request that has paid already.
+type rateFilter struct{ forwarder *Forwarder }
+
+// Serve implements Filter.
+func (r *rateFilter) Serve(x *Exchange, next func(*Exchange)) {
+	if x.parent != nil || x.hop.Team == "" {
+		next(x)
+		return
+	}
+	err := r.forwarder.deps.Limiter.Spend(x.Context(), x.hop.Team)
+	var over *limiter.RateError
+	switch {
+	case err == nil:
+		next(x)
+	case errors.As(err, &over) && over.Unreachable:
+		r.forwarder.count("refused_unreachable")
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonContact, over.Wait, "%v", over))
+	case errors.As(err, &over):
+		r.forwarder.count("refused_rate")
+		x.refuse(refuse(http.StatusTooManyRequests, ReasonRate, max(over.Wait, time.Millisecond), "%v", over))
+	default:
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDeadline, 0, "the caller went away"))
+	}
+}
--- /dev/null
+++ b/pkg/forwarder/refusal.go
@@ -0,0 +1,133 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of our own; all but Call and Timeout are removed from callers.
+const (
+	headerPrefix = "Primrose-"
+	// HeaderCall carries the call id to a target and back.
+	HeaderCall = "Primrose-Call"
+	// HeaderKey carries a caller's key; Authorization works as well.
+	HeaderKey = "Primrose-Key"
+	// HeaderTimeout carries the milliseconds that are left.
+	HeaderTimeout = "Primrose-Timeout"
+	// HeaderOutcome tells whether a refused request was run.
+	HeaderOutcome = "Primrose-Outcome"
+	// HeaderReason tells in one word why a request was refused.
+	HeaderReason = "Primrose-Reason"
+	// HeaderWait carries the milliseconds after which to come back.
+	HeaderWait = "Primrose-Wait"
+	// HeaderReplay marks the stored answer of an earlier sender.
+	HeaderReplay = "Primrose-Replay"
+
+	// headerHop, headerRetries and headerLevel are used between nodes only.
+	headerHop     = "Primrose-Hop"
+	headerRetries = "Primrose-Retries"
+	headerLevel   = "Primrose-Level"
+
+	headerIdempotency = "Idempotency-Key"
+)
+
+// Outcome tells what a refusal says about the request.
+type Outcome string
+
+// The outcomes.
+const (
+	// NotRun says that no byte of the request has gone to a target.
+	NotRun Outcome = "notrun"
+	// Unknown says that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Reason is one word for why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonRequest  Reason = "request"
+	ReasonKey      Reason = "key"
+	ReasonRoute    Reason = "route"
+	ReasonRate     Reason = "rate"
+	ReasonLoad     Reason = "load"
+	ReasonDeadline Reason = "deadline"
+	ReasonPoison   Reason = "poison"
+	ReasonTarget   Reason = "target"
+	ReasonClaimed  Reason = "claimed"
+	ReasonQuorum   Reason = "quorum"
+	ReasonContact  Reason = "contact"
+	ReasonLost     Reason = "lost"
+)
+
+// Refusal is a final answer that this system gives in place of a target.
+type Refusal struct {
+	Status  int
+	Reason  Reason
+	Outcome Outcome
+	// Wait is when the caller may come back; 0 gives no such advice.
+	Wait time.Duration
+	Text string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s (%s): %s", r.Reason, r.Outcome, r.Text) }
+
+func refuse(status int, reason Reason, wait time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{Status: status, Reason: reason, Outcome: NotRun, Wait: wait, Text: fmt.Sprintf(format, args...)}
+}
+
+// lost is the answer when a request may have run and its answer is missing.
+func lost(status int, format string, args ...any) *Refusal {
+	return &Refusal{Status: status, Reason: ReasonLost, Outcome: Unknown, Text: fmt.Sprintf(format, args...)}
+}
+
+// body is the JSON form of a refusal.
+type body struct {
+	Outcome Outcome `json:"outcome"`
+	Reason  Reason  `json:"reason"`
+	Text    string  `json:"text"`
+	// Wait in milliseconds.
+	Wait int64 `json:"wait,omitempty"`
+}
+
+// write sends the refusal at once, with a time to come back that is spread so
+// that clients do not return together.
+func (r *Refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set(HeaderOutcome, string(r.Outcome))
+	h.Set(HeaderReason, string(r.Reason))
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	wait := spread(r.Wait)
+	if wait > 0 {
+		h.Set(HeaderWait, strconv.FormatInt(wait.Milliseconds(), 10))
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	if r.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", `Bearer realm="primrosewall"`)
+	}
+	text, err := json.Marshal(body{Outcome: r.Outcome, Reason: r.Reason, Text: r.Text, Wait: wait.Milliseconds()})
+	if err != nil {
+		text = []byte(`{"outcome":"` + string(r.Outcome) + `"}`)
+	}
+	text = append(text, '\n')
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(r.Status)
+	// A caller that has gone away needs no answer.
+	_, _ = w.Write(text)
+}
+
+// spread returns a time from wait to twice that.
+func spread(wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return 0
+	}
+	return wait + rand.N(wait)
+}
--- /dev/null
+++ b/pkg/forwarder/route_filter.go
@@ -0,0 +1,97 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// routeFilter finds the route, and with it the service, the importance, the
+// deadline and the retries. A call from a target takes all but the service
+// from the request in flight that it belongs to.
+type routeFilter struct{ forwarder *Forwarder }
+
+// maxDepth bounds a chain of calls; a call in a loop ends here.
+const maxDepth = 64
+
+// Serve implements Filter.
+func (r *routeFilter) Serve(x *Exchange, next func(*Exchange)) {
+	if !r.forwarder.deps.Ready() {
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonContact, time.Second, "this node has just started and does not know the configuration yet"))
+		return
+	}
+	route := x.config.Route(x.request.Method, x.request.URL.Path)
+	if route == nil {
+		x.refuse(refuse(http.StatusNotFound, ReasonRoute, 0, "no route for %s %s", x.request.Method, x.request.URL.Path))
+		return
+	}
+	x.route = route
+	x.hop.Service = route.Service
+	x.hop.Idempotent = enforcer.Idempotent(route, x.request.Method)
+	if x.parent != nil {
+		r.inherit(x)
+	} else {
+		r.begin(x, route)
+	}
+	if x.hop.Depth > maxDepth {
+		x.refuse(refuse(http.StatusLoopDetected, ReasonRoute, 0, "the chain of calls is over %d deep", maxDepth))
+		return
+	}
+	if key := x.request.Header.Get(headerIdempotency); key != "" && !x.hop.Idempotent {
+		x.idempotencyKey = key
+	}
+	next(x)
+}
+
+// inherit takes what a call has from its root request.
+func (r *routeFilter) inherit(x *Exchange) {
+	p := x.parent
+	x.hop.Team = p.hop.Team
+	x.hop.Important = p.hop.Important
+	x.hop.Depth = p.hop.Depth + 1
+	x.hop.Root = p.hop.Root
+	x.hop.Route = p.hop.Route
+	x.budget = p.budget
+	x.deadline = earlier(x.deadline, p.deadline)
+	// The call ends with the request that it belongs to.
+	context.AfterFunc(p.ctx, x.cancel)
+}
+
+// begin sets up a root request.
+func (r *routeFilter) begin(x *Exchange, route *declarer.Route) {
+	x.hop.Important = route.Important
+	x.hop.Route = route.Name
+	x.hop.Root = uint32(xxhash.Sum64String(r.forwarder.newID()))
+	x.budget = retrier.NewBudget(route.RetryCount())
+	timeout := time.Duration(route.Timeout) * time.Millisecond
+	if timeout == 0 {
+		timeout = declarer.DefaultTimeout * time.Millisecond
+	}
+	x.deadline = earlier(x.deadline, x.began.Add(timeout))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// setTimeout takes the caller's own timeout; it can only shorten the route's.
+func (x *Exchange) setTimeout(text string) {
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err == nil && ms > 0 && ms <= declarer.MaxTimeout {
+		x.deadline = x.began.Add(time.Duration(ms) * time.Millisecond)
+	}
+}
+
+// newHop makes an empty hop.
+func newHop() *control.Hop { return &control.Hop{} }
--- /dev/null
+++ b/pkg/forwarder/send_filter.go
@@ -0,0 +1,296 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosewall/primrosewall/pkg/router"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// sendFilter chooses a target, sends the request to that target's node, and
+// retries within the request's count where that is safe.
+type sendFilter struct{ forwarder *Forwarder }
+
+// result is how a request, or one attempt at it, ended. It is sealed: notRun,
+// broken and answered are all there is.
+type result interface{ sealedResult() }
+
+// notRun says that no byte has gone to a target.
+type notRun struct{ refusal *Refusal }
+
+// broken says that the request may have run and its answer is missing.
+type broken struct{ refusal *Refusal }
+
+// answered is a target's answer.
+type answered struct{ answer *Answer }
+
+func (*notRun) sealedResult()   {}
+func (*broken) sealedResult()   {}
+func (*answered) sealedResult() {}
+
+// noTargetWait is when a caller may come back if a service has no target.
+const noTargetWait = time.Second
+
+// Serve implements Filter.
+func (s *sendFilter) Serve(x *Exchange, _ func(*Exchange)) {
+	if x.parent != nil {
+		x.parent.beginCall(s.now())
+		defer func() { x.parent.endCall(s.now()) }()
+	}
+	s.forwarder.edges.First(x.hop.Service)
+	tried := map[string]bool{}
+	var maybeRun *broken
+	for {
+		a := s.attempt(x, tried)
+		if b, ok := a.result.(*broken); ok {
+			maybeRun = b
+		}
+		if s.mayRetry(x, a) {
+			a.giveUp()
+			s.forwarder.count("retries")
+			continue
+		}
+		s.end(x, a, maybeRun)
+		return
+	}
+}
+
+func (s *sendFilter) now() time.Time { return s.forwarder.deps.Clock.Now() }
+
+// end gives the final answer. After an attempt that may have run, a refusal
+// no longer says "not run".
+func (s *sendFilter) end(x *Exchange, a *attempt, maybeRun *broken) {
+	defer a.finish()
+	final := a.result
+	if _, ok := final.(*notRun); ok && maybeRun != nil {
+		final = maybeRun
+	}
+	if x.conclude != nil {
+		x.conclude(final)
+	}
+	switch r := final.(type) {
+	case *answered:
+		r.answer.write(x)
+	case *notRun:
+		s.forwarder.count("refused_" + string(r.refusal.Reason))
+		x.refuse(r.refusal)
+	case *broken:
+		s.forwarder.count("lost")
+		x.refuse(r.refusal)
+	}
+}
+
+// mayRetry tells whether another attempt is safe, useful and within both
+// bounds.
+func (s *sendFilter) mayRetry(x *Exchange, a *attempt) bool {
+	if x.touched || x.left(s.now()) <= 0 || x.Context().Err() != nil || a.target == nil {
+		return false
+	}
+	switch r := a.result.(type) {
+	case *answered:
+		if !x.hop.Idempotent || r.answer.status != http.StatusServiceUnavailable {
+			return false
+		}
+	case *broken:
+		if !x.hop.Idempotent {
+			return false
+		}
+	}
+	return s.forwarder.edges.Retry(x.hop.Service) && x.budget.Take()
+}
+
+// attempt is one try at one target.
+type attempt struct {
+	filter *sendFilter
+	target *control.Entry
+	result result
+	began  time.Time
+	cancel context.CancelFunc
+	effect router.Result
+}
+
+// attempt sends the request once.
+func (s *sendFilter) attempt(x *Exchange, tried map[string]bool) *attempt {
+	a := &attempt{filter: s, began: s.now(), cancel: func() {}}
+	if x.left(a.began) <= 0 {
+		a.result = &notRun{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline had passed before the request was sent")}
+		return a
+	}
+	a.target = s.forwarder.deps.Router.Choose(s.forwarder.deps.Targets(x.hop.Service), tried)
+	if a.target == nil {
+		a.result = &notRun{refusal: refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetWait, "no target of service %s is known", x.hop.Service)}
+		return a
+	}
+	tried[a.target.Instance] = true
+	a.send(x)
+	return a
+}
+
+// finish tells the router how the attempt went, once the answer is through.
+func (a *attempt) finish() {
+	a.cancel()
+	if a.target != nil {
+		a.filter.forwarder.deps.Router.Done(a.target.Instance, a.effect, a.filter.now().Sub(a.began))
+	}
+}
+
+// giveUp drops an attempt in favour of another one.
+func (a *attempt) giveUp() {
+	if r, ok := a.result.(*answered); ok {
+		r.answer.close()
+	}
+	a.finish()
+}
+
+// send does the exchange with the target's node.
+func (a *attempt) send(x *Exchange) {
+	f := a.filter.forwarder
+	ctx, cancel := context.WithCancelCause(x.Context())
+	a.cancel = func() { cancel(context.Canceled) }
+	timer := a.startTimer(x, cancel)
+	watch := &sent{}
+	part := x.budget.Hand()
+	request := a.request(watch.watch(ctx), x, part)
+	response, err := f.deps.Link.RoundTrip(request)
+	timer.Stop()
+	if err != nil {
+		a.fail(x, watch, err, context.Cause(ctx))
+		return
+	}
+	a.take(x, response, part)
+}
+
+// errDeadline is the cause of a cancelled attempt whose time is over.
+var errDeadline = errors.New("deadline passed")
+
+// startTimer bounds the time to the beginning of the answer. For a streamed
+// body the time counts from its end, since it is never cut for its length.
+func (a *attempt) startTimer(x *Exchange, cancel context.CancelCauseFunc) *time.Timer {
+	left := x.left(a.began)
+	if x.streamed {
+		left += streamAllowance
+	}
+	return time.AfterFunc(left, func() { cancel(errDeadline) })
+}
+
+// streamAllowance is added to the deadline of a request with a long body; the
+// body itself is guarded by its progress.
+const streamAllowance = 24 * time.Hour
+
+func (a *attempt) request(ctx context.Context, x *Exchange, retries uint32) *http.Request {
+	hop := proto.Clone(x.hop).(*control.Hop)
+	hop.Timeout = x.left(a.began).Microseconds()
+	hop.Retries = retries
+	body, length := x.nextBody()
+	header := x.request.Header.Clone()
+	header.Set(headerHop, encodeHop(hop))
+	if x.streamed {
+		header.Set("Expect", "100-continue")
+	}
+	r := &http.Request{
+		Method: x.request.Method, Host: x.request.Host, Header: header, Body: body, ContentLength: length,
+		URL:   &url.URL{Scheme: "https", Host: a.target.Address, Path: x.request.URL.Path, RawPath: x.request.URL.RawPath, RawQuery: x.request.URL.RawQuery},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	once(r)
+	return r.WithContext(ctx)
+}
+
+func encodeHop(h *control.Hop) string {
+	raw, err := proto.Marshal(h)
+	if err != nil {
+		return ""
+	}
+	return base64.RawURLEncoding.EncodeToString(raw)
+}
+
+// fail takes an attempt that got no answer.
+func (a *attempt) fail(x *Exchange, watch *sent, err, cause error) {
+	a.effect = router.Failed
+	late := errors.Is(cause, errDeadline)
+	if x.Context().Err() != nil {
+		a.effect = router.Good
+	}
+	switch {
+	case !watch.any() && late:
+		a.result = &notRun{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent")}
+	case !watch.any():
+		a.result = &notRun{refusal: refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetWait, "the node of instance %s cannot be reached", a.target.Instance)}
+	case late:
+		a.result = &broken{refusal: lost(http.StatusGatewayTimeout, "the deadline passed before the answer came")}
+	default:
+		a.result = &broken{refusal: lost(http.StatusBadGateway, "the connection to instance %s broke before the answer came", a.target.Instance)}
+	}
+	a.filter.forwarder.deps.Log.Debug("attempt", "target", a.target.Instance, "error", err)
+}
+
+// take handles what the target's node has answered.
+func (a *attempt) take(x *Exchange, r *http.Response, part uint32) {
+	f := a.filter.forwarder
+	if left, err := strconv.ParseUint(r.Header.Get(headerRetries), 10, 32); err == nil {
+		x.budget.Return(min(uint32(left), part))
+	}
+	if level, err := strconv.Atoi(r.Header.Get(headerLevel)); err == nil {
+		f.levels.report(levelKeyOf(x), level, a.filter.now())
+		if x.parent != nil {
+			x.parent.raiseLevel(level)
+		}
+	}
+	switch Outcome(r.Header.Get(HeaderOutcome)) {
+	case NotRun:
+		a.effect = router.Shed
+		a.result = &notRun{refusal: refusalOf(r, NotRun)}
+		r.Body.Close()
+	case Unknown:
+		a.effect = router.Failed
+		a.result = &broken{refusal: refusalOf(r, Unknown)}
+		r.Body.Close()
+	default:
+		a.takeAnswer(x, r)
+	}
+}
+
+func (a *attempt) takeAnswer(x *Exchange, r *http.Response) {
+	removeOwn(r.Header)
+	answer, err := readAnswer(r)
+	if err != nil {
+		a.effect = router.Failed
+		a.result = &broken{refusal: lost(http.StatusBadGateway, "the answer of instance %s ended early", a.target.Instance)}
+		return
+	}
+	answer.abort = a.cancel
+	a.effect = effectOf(r.StatusCode)
+	a.result = &answered{answer: answer}
+}
+
+func effectOf(status int) router.Result {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return router.Shed
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return router.Failed
+	}
+	return router.Good
+}
+
+// refusalOf reads a refusal that another node has given.
+func refusalOf(r *http.Response, outcome Outcome) *Refusal {
+	wait, err := strconv.ParseInt(r.Header.Get(HeaderWait), 10, 64)
+	if err != nil {
+		wait = 0
+	}
+	return &Refusal{
+		Status: r.StatusCode, Reason: Reason(r.Header.Get(HeaderReason)), Outcome: outcome,
+		// The other node has spread the time; half of it is spread again.
+		Wait: time.Duration(wait) * time.Millisecond / 2,
+		Text: "refused at the target's node",
+	}
+}
--- /dev/null
+++ b/pkg/gossiper/receive.go
@@ -0,0 +1,219 @@
+package gossiper
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// syncPeriod is the time between two comparisons of tables.
+	syncPeriod = 10 * time.Second
+	// syncSoon is that time until the first one has succeeded.
+	syncSoon = 200 * time.Millisecond
+	// syncLost is how many comparisons out of ten go to a lost address.
+	syncLost = 3
+)
+
+// Syncer compares tables with the node at an address.
+type Syncer interface {
+	Sync(ctx context.Context, address string, r *control.SyncRequest) (*control.SyncReply, error)
+}
+
+// News is the whole of what rumours carry besides entries.
+type News interface {
+	// Digest is equal for equal news.
+	Digest() uint64
+	// All returns every withdrawn key and suspected request.
+	All() ([][]byte, []*control.Suspect)
+}
+
+// Receive handles one packet.
+func (g *Gossiper) Receive(p *control.Packet) {
+	g.mu.Lock()
+	g.heard[p.From] = true
+	now := g.clock.Now()
+	g.mergeEntries(p.Entries, now)
+	if m, ok := g.members[p.From]; ok && m.entry.Replica {
+		g.replicaAt = now
+	}
+	out := g.answer(p, now)
+	own := g.source.Version()
+	if p.Version < own && p.Kind == control.Kind_KIND_RUMOUR {
+		out = append(out, letter{address: p.Address, packet: g.packet(control.Kind_KIND_REPLY, 0)})
+	}
+	g.mu.Unlock()
+	g.mergeNews(p.Withdrawn, p.Suspects)
+	if p.Version > own {
+		g.source.Hear(p.Version, p.Address)
+	}
+	g.send(out)
+}
+
+func (g *Gossiper) answer(p *control.Packet, now time.Time) []letter {
+	switch p.Kind {
+	case control.Kind_KIND_PING:
+		return []letter{{address: p.Address, packet: g.packet(control.Kind_KIND_REPLY, p.Sequence)}}
+	case control.Kind_KIND_ASK:
+		g.sequence++
+		g.probes[g.sequence] = &probe{sent: now, relay: p.Address, relaySequence: p.Sequence}
+		return []letter{{address: p.Target, packet: g.packet(control.Kind_KIND_PING, g.sequence)}}
+	case control.Kind_KIND_REPLY:
+		return g.finishProbe(p.Sequence)
+	}
+	return nil
+}
+
+func (g *Gossiper) finishProbe(sequence uint64) []letter {
+	probe, ok := g.probes[sequence]
+	if !ok {
+		return nil
+	}
+	delete(g.probes, sequence)
+	if probe.relay == "" {
+		return nil
+	}
+	return []letter{{address: probe.relay, packet: g.packet(control.Kind_KIND_REPLY, probe.relaySequence)}}
+}
+
+// mergeNews passes withdrawn keys and suspects on, and spreads what was new.
+func (g *Gossiper) mergeNews(withdrawn [][]byte, suspects []*control.Suspect) {
+	if len(withdrawn) == 0 && len(suspects) == 0 {
+		return
+	}
+	fresh, freshSuspects := g.source.Merge(withdrawn, suspects)
+	g.Tell(fresh, freshSuspects)
+}
+
+func (g *Gossiper) mergeEntries(entries []*control.Entry, now time.Time) {
+	for _, e := range entries {
+		if e.Instance == g.self.Instance {
+			g.refute(e)
+			continue
+		}
+		old, ok := g.members[e.Instance]
+		if ok && !supersedes(e, old.entry) {
+			continue
+		}
+		g.put(e, now)
+		g.tell(&rumour{entry: e.Instance})
+	}
+}
+
+// refute answers doubt about this node, or an entry of its former life, with
+// a higher incarnation.
+func (g *Gossiper) refute(e *control.Entry) {
+	if !supersedes(e, g.self) {
+		return
+	}
+	next := proto.Clone(g.self).(*control.Entry)
+	next.Incarnation = e.Incarnation + 1
+	g.setSelf(next)
+}
+
+// SyncLoop compares tables with other nodes until the context ends.
+func (g *Gossiper) SyncLoop(ctx context.Context, syncer Syncer, news News) {
+	pause := syncSoon
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.clock.After(pause):
+		}
+		address := g.syncAddress()
+		if address == "" {
+			continue
+		}
+		reply, err := syncer.Sync(ctx, address, g.syncRequest(news.Digest()))
+		if err != nil {
+			continue
+		}
+		pause = syncPeriod
+		g.takeSync(ctx, syncer, address, reply, news)
+	}
+}
+
+// syncAddress picks a live member, or at times a lost one.
+func (g *Gossiper) syncAddress() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lost := g.lostAddress()
+	if lost != "" && g.random.IntN(10) < syncLost {
+		return lost
+	}
+	if picked := g.pick(1, ""); len(picked) > 0 {
+		return picked[0].Address
+	}
+	return lost
+}
+
+func (g *Gossiper) syncRequest(digest uint64) *control.SyncRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &control.SyncRequest{
+		From: g.self.Instance, Address: g.self.Address, Buckets: g.buckets(),
+		Entries: []*control.Entry{g.self}, Withdrawals: digest, Version: g.source.Version(),
+	}
+}
+
+// AnswerSync is the other side of a comparison.
+func (g *Gossiper) AnswerSync(r *control.SyncRequest, news News) *control.SyncReply {
+	digest := news.Digest()
+	g.mu.Lock()
+	g.heard[r.From] = true
+	g.mergeEntries(r.Entries, g.clock.Now())
+	reply := &control.SyncReply{
+		Entries: g.differing(r.Buckets), Buckets: g.buckets(),
+		Version: g.source.Version(), Withdrawals: digest, From: g.self.Instance,
+	}
+	own := reply.Version
+	g.mu.Unlock()
+	g.mergeNews(r.Withdrawn, r.Suspects)
+	if digest != r.Withdrawals {
+		reply.Withdrawn, reply.Suspects = news.All()
+	}
+	if r.Version > own {
+		g.source.Hear(r.Version, r.Address)
+	}
+	return reply
+}
+
+// takeSync merges the answer and sends back what the other side lacks.
+func (g *Gossiper) takeSync(ctx context.Context, syncer Syncer, address string, reply *control.SyncReply, news News) {
+	g.mu.Lock()
+	theirs := g.differing(reply.Buckets)
+	g.heard[reply.From] = true
+	g.mergeEntries(reply.Entries, g.clock.Now())
+	own := g.source.Version()
+	g.mu.Unlock()
+	g.mergeNews(reply.Withdrawn, reply.Suspects)
+	if reply.Version > own {
+		g.source.Hear(reply.Version, address)
+	}
+	digest := news.Digest()
+	if len(theirs) == 0 && digest == reply.Withdrawals {
+		return
+	}
+	back := g.syncRequest(digest)
+	back.Entries = append(back.Entries, theirs...)
+	if digest != reply.Withdrawals {
+		back.Withdrawn, back.Suspects = news.All()
+	}
+	if _, err := syncer.Sync(ctx, address, back); err != nil {
+		return
+	}
+}
+
+func sortEntries(entries []*control.Entry) {
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Instance < entries[j].Instance })
+}
+
+func shuffle(random *rand.Rand, names []string) {
+	sort.Strings(names)
+	random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
--- /dev/null
+++ b/pkg/limiter/bucket.go
@@ -0,0 +1,133 @@
+package limiter
+
+import (
+	"math"
+	"time"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// term is how long tokens may be spent after they were asked for.
+	term = time.Second
+	// drift is what clocks of two machines may differ in running that long.
+	drift = 50 * time.Millisecond
+	// lendAhead is the own demand that a lender keeps back.
+	lendAhead = 200 * time.Millisecond
+	// demandWeight is that of the newest second in the demand of a bucket.
+	demandWeight = 0.3
+)
+
+// batch is a number of tokens handed out together.
+type batch struct {
+	count  uint32
+	spent  uint32
+	expiry time.Time
+}
+
+// bucket is the holder's side of one team in one data centre. At all times
+// level plus the tokens that may still be spent is at most the burst.
+type bucket struct {
+	part    Part
+	level   float64
+	at      time.Time
+	batches map[uint64]*batch
+	// opens is when the bucket begins to fill.
+	opens time.Time
+	// demand in tokens per second asked for by the own data centre.
+	demand  float64
+	asked   float64
+	askedAt time.Time
+}
+
+// newBucket makes a bucket that is empty at opens and fills from then on. The
+// time until it is first asked counts too: nothing was handed out in it.
+func newBucket(opens time.Time, part Part) *bucket {
+	return &bucket{at: opens, opens: opens, part: part, batches: map[uint64]*batch{}, askedAt: opens}
+}
+
+// outstanding counts the tokens that may still be spent.
+func (b *bucket) outstanding(now time.Time) float64 {
+	sum := 0.0
+	for id, batch := range b.batches {
+		if !now.Before(batch.expiry) {
+			delete(b.batches, id)
+			continue
+		}
+		sum += float64(batch.count - batch.spent)
+	}
+	return sum
+}
+
+// refill brings the level up to now, within the cap.
+func (b *bucket) refill(now time.Time, part Part) {
+	if now.Before(b.opens) {
+		b.level, b.at, b.part = 0, now, part
+		return
+	}
+	from := b.at
+	if from.Before(b.opens) {
+		from = b.opens
+	}
+	// The lower rate of before and after counts for the time between.
+	rate := math.Min(b.part.Rate, part.Rate)
+	if now.After(from) {
+		b.level += rate * now.Sub(from).Seconds()
+	}
+	b.at, b.part = now, part
+	b.level = math.Max(0, math.Min(b.level, part.Burst-b.outstanding(now)))
+}
+
+// report takes what became of batches.
+func (b *bucket) report(spent []*control.Spent) {
+	for _, s := range spent {
+		batch, ok := b.batches[s.Batch]
+		if !ok {
+			continue
+		}
+		batch.spent = max(batch.spent, min(s.Count, batch.count))
+		if s.Closed {
+			b.level += float64(batch.count - batch.spent)
+			delete(b.batches, s.Batch)
+		}
+	}
+}
+
+// give hands out up to count tokens under a new id.
+func (b *bucket) give(now time.Time, id uint64, count uint32, loan bool) uint32 {
+	free := b.level
+	if loan {
+		free -= b.demand * lendAhead.Seconds()
+	} else {
+		b.ask(now, count)
+	}
+	given := uint32(math.Max(0, math.Min(float64(count), math.Floor(free))))
+	if given == 0 {
+		return 0
+	}
+	b.level -= float64(given)
+	b.batches[id] = &batch{count: given, expiry: now.Add(term + drift)}
+	return given
+}
+
+// ask keeps the demand of the own data centre.
+func (b *bucket) ask(now time.Time, count uint32) {
+	b.asked += float64(count)
+	age := now.Sub(b.askedAt)
+	if age < lendAhead {
+		return
+	}
+	b.demand += demandWeight * (b.asked/age.Seconds() - b.demand)
+	b.asked, b.askedAt = 0, now
+}
+
+// wait is the time until a token is likely, for the caller's Retry-After.
+func (b *bucket) wait(now time.Time) time.Duration {
+	if now.Before(b.opens) {
+		return b.opens.Sub(now)
+	}
+	if b.part.Rate <= 0 {
+		return term
+	}
+	return time.Duration(math.Min(1/b.part.Rate, 60) * float64(time.Second))
+}
--- /dev/null
+++ b/pkg/limiter/holder.go
@@ -0,0 +1,255 @@
+package limiter
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// Voters asks a witness, by instance name, for its vote.
+type Voters interface {
+	Lease(ctx context.Context, instance string, r *control.LeaseRequest) (*control.LeaseReply, error)
+	// HolderVersion asks the holder of a shard in another data centre for the
+	// version that it has in force; 0 when there is none.
+	HolderVersion(ctx context.Context, centre, team string) uint64
+}
+
+// shardCount is the number of leases of a data centre. It never changes, so
+// that a team has the same lease whatever version a node has in force.
+const shardCount = 5
+
+// Shard is the part of the teams that one lease covers.
+func Shard(team string) int {
+	return int(xxhash.Sum64String(team) % shardCount)
+}
+
+// LeaseName names the lease of a shard.
+func LeaseName(centre string, shard int) string { return fmt.Sprintf("%s/%d", centre, shard) }
+
+// Holder holds the buckets of a data centre's teams while it has the lease.
+type Holder struct {
+	clock    timekeeper.Clock
+	config   *enforcer.Enforcer
+	voters   Voters
+	instance string
+	centre   string
+	session  uint64
+
+	mu      sync.Mutex
+	leases  map[int]time.Time
+	retries map[int]time.Time
+	// opens is when the buckets of a shard begin to fill: tokens that a former
+	// holder handed out have expired by then.
+	opens   map[int]time.Time
+	buckets map[string]*bucket
+	nextID  uint64
+	// reached is the version that each data centre is known to have in force
+	// for a team.
+	reached map[string]uint64
+}
+
+// NewHolder makes a holder; session names this life of the process.
+func NewHolder(clock timekeeper.Clock, config *enforcer.Enforcer, voters Voters, instance, centre string, session uint64) *Holder {
+	return &Holder{
+		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session,
+		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
+	}
+}
+
+// Run keeps leases and learns how far other data centres are.
+func (h *Holder) Run(ctx context.Context) { h.loop(ctx) }
+
+func (h *Holder) loop(ctx context.Context) {
+	for {
+		h.Renew(ctx)
+		h.learnReached(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.clock.After(renewPeriod):
+		}
+	}
+}
+
+// Renew asks for the leases that this instance holds or should try to hold.
+func (h *Holder) Renew(ctx context.Context) {
+	c := h.config.Current()
+	witnesses := c.Declaration().Centres[h.centre].Witnesses
+	rank := slices.Index(witnesses, h.instance)
+	if rank < 0 {
+		return
+	}
+	for shard := range shardCount {
+		h.renewShard(ctx, shard, witnesses, c.Version(), rank)
+	}
+}
+
+// renewShard tries for a lease. A witness that is not preferred tries only
+// when its own vote is free, and one that failed pauses until its votes have
+// run out, each rank for a different time, so that rivals do not block each
+// other.
+func (h *Holder) renewShard(ctx context.Context, shard int, witnesses []string, version uint64, rank int) {
+	sent := h.clock.Now()
+	request := &control.LeaseRequest{Name: LeaseName(h.centre, shard), Instance: h.instance, Version: version, Session: h.session}
+	if !h.holdsShard(shard) {
+		if sent.Before(h.retryAt(shard)) {
+			return
+		}
+		reply, err := h.voters.Lease(ctx, h.instance, request)
+		if shard%len(witnesses) != rank && (err != nil || !reply.Granted) {
+			return
+		}
+	}
+	if h.countVotes(ctx, witnesses, request) > len(witnesses)/2 {
+		h.hold(shard, sent)
+		return
+	}
+	h.mu.Lock()
+	h.retries[shard] = h.clock.Now().Add(leaseTerm + time.Duration(rank)*renewPeriod)
+	h.mu.Unlock()
+}
+
+func (h *Holder) retryAt(shard int) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.retries[shard]
+}
+
+// ballot is one vote being asked for.
+type ballot struct {
+	voters  Voters
+	witness string
+	request *control.LeaseRequest
+	granted chan bool
+}
+
+func (b *ballot) run(ctx context.Context) {
+	reply, err := b.voters.Lease(ctx, b.witness, b.request)
+	b.granted <- err == nil && reply.Granted
+}
+
+func (h *Holder) countVotes(ctx context.Context, witnesses []string, request *control.LeaseRequest) int {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	granted := make(chan bool, len(witnesses))
+	for _, w := range witnesses {
+		b := &ballot{voters: h.voters, witness: w, request: request, granted: granted}
+		go b.run(ctx)
+	}
+	count := 0
+	for range witnesses {
+		if <-granted {
+			count++
+		}
+	}
+	return count
+}
+
+// hold notes the lease, counted from when the first vote was asked for. After
+// a gap, or at first, all buckets of the shard start empty.
+func (h *Holder) hold(shard int, sent time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	if !now.Before(h.leases[shard]) {
+		h.dropShard(shard)
+		h.opens[shard] = now.Add(term + drift)
+	}
+	h.leases[shard] = sent.Add(leaseTerm - leaseDrift)
+}
+
+func (h *Holder) dropShard(shard int) {
+	for team := range h.buckets {
+		if Shard(team) == shard {
+			delete(h.buckets, team)
+		}
+	}
+}
+
+func (h *Holder) holdsShard(shard int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock.Now().Before(h.leases[shard])
+}
+
+// Tokens answers a node that asks for tokens.
+func (h *Holder) Tokens(r *control.TokensRequest) *control.TokensReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	c := h.config.Current()
+	if !now.Before(h.leases[Shard(r.Team)]) {
+		return &control.TokensReply{Absent: true}
+	}
+	b, ok := h.buckets[r.Team]
+	if !ok {
+		b = newBucket(h.opens[Shard(r.Team)], h.part(c, r.Team))
+		h.buckets[r.Team] = b
+	}
+	b.report(r.Spent)
+	b.refill(now, h.part(c, r.Team))
+	h.nextID++
+	given := b.give(now, h.nextID, r.Count, r.Loan)
+	reply := &control.TokensReply{
+		Count: given, Term: uint32(term.Milliseconds()), Batch: h.nextID,
+		Holder: h.instance, Version: c.Version(),
+	}
+	if given == 0 {
+		reply.Wait = uint32(b.wait(now).Milliseconds())
+	}
+	return reply
+}
+
+// part is what this data centre may use, given how far the others are.
+func (h *Holder) part(c *enforcer.Config, team string) Part {
+	var former []*control.Division
+	for _, f := range c.Value().Divisions {
+		if f.Team == team && h.reached[f.Centre+"/"+team] < f.Until {
+			former = append(former, f)
+		}
+	}
+	return Effective(c.Declaration(), team, h.centre, former)
+}
+
+// learnReached asks other data centres for their versions, as long as a
+// former division stands in the way.
+func (h *Holder) learnReached(ctx context.Context) {
+	for _, f := range h.pending() {
+		version := h.voters.HolderVersion(ctx, f.Centre, f.Team)
+		h.mu.Lock()
+		key := f.Centre + "/" + f.Team
+		h.reached[key] = max(h.reached[key], version)
+		h.mu.Unlock()
+	}
+}
+
+func (h *Holder) pending() []*control.Division {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	var list []*control.Division
+	for _, f := range h.config.Current().Value().Divisions {
+		held := now.Before(h.leases[Shard(f.Team)])
+		if held && f.Centre != h.centre && h.reached[f.Centre+"/"+f.Team] < f.Until {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// Settled tells which former divisions are over, so that a later change can
+// leave them out.
+func (h *Holder) Settled(d *declarer.Declaration, f *control.Division) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reached[f.Centre+"/"+f.Team] >= f.Until
+}
--- /dev/null
+++ b/pkg/limiter/witness.go
@@ -0,0 +1,65 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// leaseTerm is how long a witness's vote binds it.
+	leaseTerm = 1500 * time.Millisecond
+	// leaseDrift is taken off the term by the holder.
+	leaseDrift = 100 * time.Millisecond
+	// renewPeriod is the time between two renewals by a holder.
+	renewPeriod = 400 * time.Millisecond
+)
+
+// vote is the lease that a witness has granted.
+type vote struct {
+	holder  string
+	session uint64
+	expiry  time.Time
+	// version is the highest that any holder had.
+	version uint64
+}
+
+// Witness votes for the holders of buckets. It remembers its votes only in
+// memory, so after a start it abstains for one lease.
+type Witness struct {
+	clock timekeeper.Clock
+	opens time.Time
+
+	mu    sync.Mutex
+	votes map[string]*vote
+}
+
+// NewWitness makes a witness that abstains at first.
+func NewWitness(clock timekeeper.Clock) *Witness {
+	return &Witness{clock: clock, opens: clock.Now().Add(leaseTerm + leaseDrift), votes: map[string]*vote{}}
+}
+
+// Vote grants a lease unless another holder has it, or the asker has an older
+// configuration than a former holder had.
+func (w *Witness) Vote(r *control.LeaseRequest) *control.LeaseReply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	if now.Before(w.opens) {
+		return &control.LeaseReply{}
+	}
+	v, ok := w.votes[r.Name]
+	if !ok {
+		v = &vote{}
+		w.votes[r.Name] = v
+	}
+	held := now.Before(v.expiry) && (v.holder != r.Instance || v.session != r.Session)
+	if held || r.Version < v.version {
+		return &control.LeaseReply{Holder: v.holder}
+	}
+	v.holder, v.session, v.version = r.Instance, r.Session, r.Version
+	v.expiry = now.Add(leaseTerm)
+	return &control.LeaseReply{Granted: true, Holder: r.Instance}
+}
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,205 @@
+// Package router chooses the target of a call. What this node's own requests
+// met counts more than what is reported: errors eject a target for a while, a
+// returning or new one gets its share back gradually, and among the rest two
+// random ones are compared by the requests in flight and their time.
+package router
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// subset is how many targets of a service one node uses; it bounds the
+	// connections of a large fleet.
+	subset = 20
+	// ejectAfter is how many failures in a row eject a target.
+	ejectAfter = 3
+	// ejectFirst and ejectMost bound how long a target is ejected.
+	ejectFirst = time.Second
+	ejectMost  = 30 * time.Second
+	// ramp is how long a new or returning target takes to its full share.
+	ramp = 3 * time.Second
+	// rampFloor is its share at the beginning.
+	rampFloor = 0.1
+	// timeWeight is that of the newest request in the average time.
+	timeWeight = 0.2
+)
+
+// Result is how an attempt went, as far as the choice of targets matters.
+type Result int
+
+// The results.
+const (
+	// Good says that the target answered.
+	Good Result = iota
+	// Shed says that the target or its node refused for lack of room.
+	Shed
+	// Failed says that there was no answer.
+	Failed
+)
+
+// experience is what this node's requests met at one target.
+type experience struct {
+	inflight int
+	time     float64
+	failures int
+	ejected  time.Time
+	spell    time.Duration
+	since    time.Time
+	shedAt   time.Time
+}
+
+// Router chooses targets. Members are given with each choice, so the router
+// holds nothing but experience.
+type Router struct {
+	clock    timekeeper.Clock
+	instance string
+	centre   string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	seen   map[string]*experience
+}
+
+// New makes a router for a node.
+func New(clock timekeeper.Clock, instance, centre string, random *rand.Rand) *Router {
+	return &Router{clock: clock, instance: instance, centre: centre, random: random, seen: map[string]*experience{}}
+}
+
+// Choose picks a target's entry among members, preferring the own data centre
+// and targets not tried yet for this request. It returns nil if there is none.
+func (r *Router) Choose(members []*control.Entry, tried map[string]bool) *control.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	fresh := filter(members, func(e *control.Entry) bool { return !tried[e.Instance] })
+	for _, group := range [][]*control.Entry{fresh, members} {
+		local := r.subset(filter(group, func(e *control.Entry) bool { return e.Centre == r.centre }))
+		remote := r.subset(filter(group, func(e *control.Entry) bool { return e.Centre != r.centre }))
+		for _, place := range [][]*control.Entry{local, remote} {
+			if e := r.pick(r.usable(place, now), now); e != nil {
+				return r.begin(e)
+			}
+		}
+	}
+	// All are ejected: any is better than none.
+	if len(members) > 0 {
+		return r.begin(members[r.random.IntN(len(members))])
+	}
+	return nil
+}
+
+func (r *Router) begin(e *control.Entry) *control.Entry {
+	r.experience(e.Instance).inflight++
+	return e
+}
+
+// subset keeps the members that rank highest for this node.
+func (r *Router) subset(members []*control.Entry) []*control.Entry {
+	if len(members) <= subset {
+		return members
+	}
+	rank := func(e *control.Entry) uint64 { return xxhash.Sum64String(r.instance + "/" + e.Instance) }
+	sort.Slice(members, func(i, j int) bool { return rank(members[i]) > rank(members[j]) })
+	return members[:subset]
+}
+
+func (r *Router) usable(members []*control.Entry, now time.Time) []*control.Entry {
+	return filter(members, func(e *control.Entry) bool {
+		x := r.experience(e.Instance)
+		if x.ejected.IsZero() || !now.Before(x.ejected) {
+			return x.ejected.IsZero() || x.inflight == 0
+		}
+		return false
+	})
+}
+
+// pick compares two random members.
+func (r *Router) pick(members []*control.Entry, now time.Time) *control.Entry {
+	if len(members) == 0 {
+		return nil
+	}
+	a := members[r.random.IntN(len(members))]
+	b := members[r.random.IntN(len(members))]
+	if r.score(b, now) < r.score(a, now) {
+		return b
+	}
+	return a
+}
+
+// score is the expected wait; lower is better.
+func (r *Router) score(e *control.Entry, now time.Time) float64 {
+	x := r.experience(e.Instance)
+	share := rampFloor + (1-rampFloor)*math.Min(1, now.Sub(x.since).Seconds()/ramp.Seconds())
+	score := (float64(x.inflight) + 1) * (x.time + 0.001) / share
+	if now.Sub(x.shedAt) < ejectFirst/10 {
+		score *= 4
+	}
+	if e.State == control.State_STATE_SUSPECT {
+		score *= 8
+	}
+	return score / math.Max(1, float64(e.Slots))
+}
+
+func (r *Router) experience(instance string) *experience {
+	x, ok := r.seen[instance]
+	if !ok {
+		x = &experience{since: r.clock.Now()}
+		r.seen[instance] = x
+	}
+	return x
+}
+
+// Done takes how an attempt at a target went.
+func (r *Router) Done(instance string, result Result, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.experience(instance)
+	x.inflight--
+	now := r.clock.Now()
+	switch result {
+	case Good:
+		x.good(now, took)
+	case Shed:
+		x.failures = 0
+		x.shedAt = now
+	case Failed:
+		x.fail(now)
+	}
+}
+
+func (x *experience) good(now time.Time, took time.Duration) {
+	x.failures = 0
+	x.time += timeWeight * (took.Seconds() - x.time)
+	if !x.ejected.IsZero() {
+		x.ejected, x.spell, x.since = time.Time{}, 0, now
+	}
+}
+
+func (x *experience) fail(now time.Time) {
+	x.failures++
+	if x.failures < ejectAfter && x.ejected.IsZero() {
+		return
+	}
+	x.spell = min(max(2*x.spell, ejectFirst), ejectMost)
+	x.ejected = now.Add(x.spell)
+}
+
+func filter(members []*control.Entry, keep func(*control.Entry) bool) []*control.Entry {
+	kept := make([]*control.Entry, 0, len(members))
+	for _, e := range members {
+		if keep(e) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/pkg/server/directory.go
@@ -0,0 +1,127 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/primrosewall/primrosewall/pkg/caller"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/gossiper"
+	"github.com/primrosewall/primrosewall/pkg/limiter"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// directory finds instances by service and holders by team. It keeps an index
+// of the gossip table.
+type directory struct {
+	gossip *gossiper.Gossiper
+	config *enforcer.Enforcer
+	caller *caller.Caller
+	centre string
+
+	mu         sync.Mutex
+	generation uint64
+	services   map[string][]*control.Entry
+	// holders remembers who last held a shard, by the name of its lease.
+	holders map[string]string
+}
+
+var errUnknown = errors.New("instance is not known")
+
+// targets lists the targets of a service that take new work.
+func (d *directory) targets(service string) []*control.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if g := d.gossip.Generation(); g != d.generation || d.services == nil {
+		d.services = indexServices(d.gossip.Members())
+		d.generation = g
+	}
+	return d.services[service]
+}
+
+func indexServices(entries []*control.Entry) map[string][]*control.Entry {
+	services := map[string][]*control.Entry{}
+	for _, e := range entries {
+		usable := e.State == control.State_STATE_ALIVE || e.State == control.State_STATE_SUSPECT
+		if usable && e.Service != "" {
+			services[e.Service] = append(services[e.Service], e)
+		}
+	}
+	return services
+}
+
+// Lease implements limiter.Voters.
+func (d *directory) Lease(ctx context.Context, instance string, r *control.LeaseRequest) (*control.LeaseReply, error) {
+	e := d.gossip.Member(instance)
+	if e == nil {
+		return nil, errUnknown
+	}
+	return d.caller.Peer(e.Address).Lease(ctx, r)
+}
+
+// HolderVersion implements limiter.Voters.
+func (d *directory) HolderVersion(ctx context.Context, centre, team string) uint64 {
+	reply, err := d.Ask(ctx, centre, &control.TokensRequest{Centre: d.centre, Team: team, Loan: true})
+	if err != nil || reply.Absent {
+		return 0
+	}
+	return reply.Version
+}
+
+// Others implements limiter.Holders.
+func (d *directory) Others(string) []string {
+	var centres []string
+	for centre := range d.config.Current().Declaration().Centres {
+		if centre != d.centre {
+			centres = append(centres, centre)
+		}
+	}
+	return centres
+}
+
+// Ask implements limiter.Holders: it tries the last known holder of the
+// team's shard first, then every witness.
+func (d *directory) Ask(ctx context.Context, centre string, r *control.TokensRequest) (*control.TokensReply, error) {
+	if centre == "" {
+		centre = d.centre
+	}
+	witnesses := d.config.Current().Declaration().Centres[centre].Witnesses
+	shard := limiter.Shard(r.Team)
+	name := limiter.LeaseName(centre, shard)
+	for _, instance := range d.order(name, shard, witnesses) {
+		e := d.gossip.Member(instance)
+		if e == nil || e.State == control.State_STATE_DEAD {
+			continue
+		}
+		reply, err := d.caller.Peer(e.Address).Tokens(ctx, r)
+		if err == nil && !reply.Absent {
+			d.remember(name, instance)
+			return reply, nil
+		}
+	}
+	return &control.TokensReply{Absent: true}, nil
+}
+
+func (d *directory) remember(name, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holders[name] = instance
+}
+
+// order lists the witnesses, the likely holder first.
+func (d *directory) order(name string, shard int, witnesses []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first, ok := d.holders[name]
+	if !ok && len(witnesses) > 0 {
+		first = witnesses[shard%len(witnesses)]
+	}
+	list := []string{first}
+	for _, w := range witnesses {
+		if w != first {
+			list = append(list, w)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/server/operator_service.go
@@ -0,0 +1,317 @@
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/planner"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// proposeTimeout bounds a change of the register.
+	proposeTimeout = 5 * time.Second
+	// statusTimeout bounds the question to one instance for its version.
+	statusTimeout = time.Second
+	// statusWorkers is how many instances are asked at a time.
+	statusWorkers = 64
+)
+
+// HeaderOperator carries the name of an operator where no operators are set.
+const HeaderOperator = "Primrose-Operator"
+
+// operatorName is the key of the operator's name in a context.
+type operatorName struct{}
+
+// identifyOperator admits operators by key, or anybody on a node without
+// operators, under the name that they give.
+func (s *Server) identifyOperator(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, ok := s.operator(r)
+		if !ok {
+			http.Error(w, `{"code":"unauthenticated","msg":"operator key is missing or not known"}`, http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorName{}, name)))
+	})
+}
+
+func (s *Server) operator(r *http.Request) (string, bool) {
+	if len(s.settings.Operators) == 0 {
+		name := r.Header.Get(HeaderOperator)
+		if name == "" {
+			name = "anybody"
+		}
+		return name + " (unverified)", true
+	}
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	hash := declarer.HashKey(key)
+	for name, known := range s.settings.Operators {
+		if known == hash {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// operatorService answers the command-line tool.
+type operatorService struct{ server *Server }
+
+// Plan implements control.Operator.
+func (o *operatorService) Plan(_ context.Context, r *control.PlanRequest) (*control.PlanReply, error) {
+	plan, err := planner.Make(o.server.config.Current().Value(), "declaration", r.Declaration)
+	if err != nil {
+		return &control.PlanReply{Refused: err.Error()}, nil
+	}
+	return &control.PlanReply{Id: plan.ID, Base: plan.Base, Lines: plan.Lines}, nil
+}
+
+// Confirm implements control.Operator.
+func (o *operatorService) Confirm(ctx context.Context, r *control.ConfirmRequest) (*control.ProposeReply, error) {
+	s := o.server
+	c := &planner.Confirmation{
+		ID: r.Id, Base: r.Base, Declaration: r.Declaration, Operator: name(ctx),
+		Time: s.clock.Now().UnixNano(), Settled: s.settled,
+	}
+	return s.propose(ctx, c.Update(), r.Id)
+}
+
+// Replace implements control.Operator.
+func (o *operatorService) Replace(ctx context.Context, r *control.ReplaceRequest) (*control.ProposeReply, error) {
+	s := o.server
+	joining, err := s.caller.Replica(r.Joining).Identify(ctx, &control.IdentifyRequest{})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "the joining replica does not answer: "+err.Error())
+	}
+	if err := s.checkRecords(ctx); err != nil {
+		return &control.ProposeReply{Refused: err.Error()}, nil
+	}
+	id, base := r.Id, r.Base
+	if base == 0 {
+		base = s.config.Current().Version()
+	}
+	replacement := &planner.Replacement{
+		ID: id, Base: base, Leaving: r.Leaving, Operator: name(ctx), Time: s.clock.Now().UnixNano(),
+		Joining: &control.Member{Identity: joining.Identity, Address: r.Joining},
+	}
+	return s.propose(ctx, replacement.Update(), id)
+}
+
+// Withdraw implements control.Operator.
+func (o *operatorService) Withdraw(ctx context.Context, r *control.WithdrawRequest) (*control.WithdrawReply, error) {
+	s := o.server
+	own, err := s.withdraw(r.Hashes)
+	if err != nil {
+		s.fail("withdrawn_save", err)
+	}
+	s.log.Info("withdraw", "operator", name(ctx), "keys", len(r.Hashes))
+	if own > 0 {
+		return &control.WithdrawReply{Stored: own}, nil
+	}
+	return &control.WithdrawReply{Stored: s.withdrawAtReplicas(ctx, r)}, nil
+}
+
+// Declaration implements control.Operator.
+func (o *operatorService) Declaration(context.Context, *control.FetchRequest) (*control.Value, error) {
+	return o.server.config.Current().Value(), nil
+}
+
+// History implements control.Operator.
+func (o *operatorService) History(ctx context.Context, r *control.HistoryRequest) (*control.HistoryReply, error) {
+	s := o.server
+	if s.audit != nil {
+		return &control.HistoryReply{Changes: s.audit.From(r.From)}, nil
+	}
+	var last error = twirp.NewError(twirp.Unavailable, "no replica is known")
+	for _, m := range s.config.Current().Value().Replicas {
+		reply, err := s.caller.Peer(m.Address).History(ctx, r)
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// Status implements control.Operator: it asks every instance for the version
+// that it has in force.
+func (o *operatorService) Status(ctx context.Context, _ *control.StatusRequest) (*control.StatusReply, error) {
+	s := o.server
+	value := s.config.Current().Value()
+	reply := &control.StatusReply{
+		Version: value.Version, Epoch: value.Epoch, Replicas: value.Replicas,
+		Instance: s.settings.Instance, Ready: s.ready(),
+	}
+	entries := s.gossip.Members()
+	survey := &survey{server: s, work: make(chan *control.Entry, len(entries)), done: make(chan *control.Entry, len(entries))}
+	for _, e := range entries {
+		survey.work <- e
+	}
+	close(survey.work)
+	for range min(statusWorkers, len(entries)) {
+		go survey.run(ctx)
+	}
+	for range entries {
+		reply.Entries = append(reply.Entries, <-survey.done)
+	}
+	sort.Slice(reply.Entries, func(i, j int) bool {
+		a, b := reply.Entries[i], reply.Entries[j]
+		if a.Centre != b.Centre {
+			return a.Centre < b.Centre
+		}
+		return a.Instance < b.Instance
+	})
+	return reply, nil
+}
+
+// survey asks instances for their versions.
+type survey struct {
+	server *Server
+	work   chan *control.Entry
+	done   chan *control.Entry
+}
+
+func (v *survey) run(ctx context.Context) {
+	for e := range v.work {
+		v.done <- v.ask(ctx, e)
+	}
+}
+
+func (v *survey) ask(ctx context.Context, e *control.Entry) *control.Entry {
+	filled := &control.Entry{
+		Instance: e.Instance, Centre: e.Centre, Address: e.Address, State: e.State,
+		Service: e.Service, Slots: e.Slots, Replica: e.Replica,
+	}
+	if e.State == control.State_STATE_DEAD {
+		return filled
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	if reply, err := v.server.caller.Peer(e.Address).Probe(ctx, &control.ProbeRequest{}); err == nil {
+		filled.Version = reply.Version
+	}
+	return filled
+}
+
+func name(ctx context.Context) string {
+	name, _ := ctx.Value(operatorName{}).(string)
+	return name
+}
+
+// propose runs a change of the register and types its refusals.
+func (s *Server) propose(ctx context.Context, update func(*control.Value) (*control.Value, error), id string) (*control.ProposeReply, error) {
+	known := s.config.Current().Value()
+	if known.Version == 0 {
+		return nil, twirp.NewError(twirp.Unavailable, "this node knows no replicas yet")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	value, err := s.proposer.Run(ctx, known, update)
+	var conflict *planner.ConflictError
+	var repeat *planner.RepeatError
+	switch {
+	case err == nil:
+		s.log.Info("change", "id", id, "version", value.Version, "operator", name(ctx))
+		return &control.ProposeReply{Version: value.Version}, nil
+	case errors.As(err, &repeat):
+		return &control.ProposeReply{Version: repeat.Change.Version, Repeated: true}, nil
+	case errors.As(err, &conflict):
+		return &control.ProposeReply{Conflict: conflict.Winner, Refused: conflict.Error()}, nil
+	case value != nil:
+		return &control.ProposeReply{Refused: err.Error()}, nil
+	}
+	return nil, twirp.NewError(twirp.Unavailable, "whether the change was made is not known, confirm again: "+err.Error())
+}
+
+// withdraw adds keys to the own set and spreads them. It returns on how many
+// data folders they are synced.
+func (s *Server) withdraw(hashes [][]byte) (uint32, error) {
+	fresh, err := s.withdrawn.Add(hashes)
+	s.gossip.Tell(fresh, nil)
+	if err != nil || s.folder == nil {
+		return 0, err
+	}
+	return 1, nil
+}
+
+// withdrawAtReplicas has the withdrawal synced on every replica in reach.
+func (s *Server) withdrawAtReplicas(ctx context.Context, r *control.WithdrawRequest) uint32 {
+	var stored uint32
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, m := range s.config.Current().Value().Replicas {
+		w := &withdrawal{server: s, address: m.Address, request: r, group: &group, mu: &mu, stored: &stored}
+		group.Add(1)
+		go w.run(ctx)
+	}
+	group.Wait()
+	return stored
+}
+
+// withdrawal is one message to a replica.
+type withdrawal struct {
+	server  *Server
+	address string
+	request *control.WithdrawRequest
+	group   *sync.WaitGroup
+	mu      *sync.Mutex
+	stored  *uint32
+}
+
+func (w *withdrawal) run(ctx context.Context) {
+	defer w.group.Done()
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	reply, err := w.server.caller.Peer(w.address).Withdraw(ctx, w.request)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*w.stored += reply.Stored
+}
+
+// settled tells whether a former division of a limit is over, as far as this
+// node knows.
+func (s *Server) settled(d *control.Division) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	return s.directory.HolderVersion(ctx, d.Centre, d.Team) >= d.Until
+}
+
+// checkRecords refuses a replacement while a majority of the set has not
+// copied the claim records that the last one handed over.
+func (s *Server) checkRecords(ctx context.Context) error {
+	value := s.config.Current().Value()
+	complete := 0
+	for _, m := range value.Replicas {
+		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+		reply, err := s.caller.Replica(m.Address).Identify(ctx, &control.IdentifyRequest{})
+		cancel()
+		if err == nil && reply.Identity == m.Identity && reply.Records == value.Epoch {
+			complete++
+		}
+	}
+	if complete <= len(value.Replicas)/2 {
+		return planner.ErrBusy
+	}
+	return nil
+}
+
+// randomName returns a name for one life of a process.
+func randomName() string {
+	var raw [8]byte
+	// The system's source never fails.
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
--- /dev/null
+++ b/pkg/server/server.go
@@ -0,0 +1,475 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/announcer"
+	"github.com/primrosewall/primrosewall/pkg/auditor"
+	"github.com/primrosewall/primrosewall/pkg/caller"
+	"github.com/primrosewall/primrosewall/pkg/configurer"
+	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
+	"github.com/primrosewall/primrosewall/pkg/gossiper"
+	"github.com/primrosewall/primrosewall/pkg/limiter"
+	"github.com/primrosewall/primrosewall/pkg/quarantiner"
+	"github.com/primrosewall/primrosewall/pkg/replicator"
+	"github.com/primrosewall/primrosewall/pkg/router"
+	"github.com/primrosewall/primrosewall/pkg/sealer"
+	"github.com/primrosewall/primrosewall/pkg/storer"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/pkg/withdrawer"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// readyHeard is from how many others a starting node wants to hear.
+	readyHeard = 3
+	// readyMost is how long it waits for them.
+	readyMost = 3 * time.Second
+	// headerTimeout bounds the time for the headers of a request.
+	headerTimeout = 10 * time.Second
+	// keepIdle is how long an idle connection is kept.
+	keepIdle = 75 * time.Second
+	// maxHeader bounds the headers of a request, in bytes.
+	maxHeader = 32 << 10
+	// hopHeader is what the nodes' own headers add to that.
+	hopHeader = 4 << 10
+	// stopMost bounds a planned stop.
+	stopMost = 10 * time.Minute
+)
+
+// Server is one node.
+type Server struct {
+	settings *configurer.Settings
+	clock    timekeeper.Clock
+	log      *slog.Logger
+	sealer   *sealer.Sealer
+	started  time.Time
+
+	folder     *storer.Folder
+	acceptor   *replicator.Acceptor
+	store      *deduplicator.Store
+	audit      *auditor.Auditor
+	config     *enforcer.Enforcer
+	withdrawn  *withdrawer.Withdrawer
+	quarantine *quarantiner.Quarantiner
+
+	caller    *caller.Caller
+	carrier   *carrier
+	source    *source
+	gossip    *gossiper.Gossiper
+	fetcher   *fetcher
+	directory *directory
+	proposer  *replicator.Proposer
+	witness   *limiter.Witness
+	holder    *limiter.Holder
+	spender   *limiter.Spender
+	announcer *announcer.Announcer
+	admitter  *admitter.Admitter
+	forwarder *forwarder.Forwarder
+
+	metrics  *expvar.Map
+	draining atomic.Bool
+	isReady  atomic.Bool
+}
+
+// New builds a node from its settings. Nothing listens before Run.
+func New(settings *configurer.Settings, clock timekeeper.Clock, log *slog.Logger) (*Server, error) {
+	s := &Server{
+		settings: settings, clock: clock, log: log, started: clock.Now(),
+		quarantine: &quarantiner.Quarantiner{}, metrics: new(expvar.Map),
+	}
+	var err error
+	if s.sealer, err = sealer.New(settings.SecretBytes()); err != nil {
+		return nil, err
+	}
+	if err := s.openState(); err != nil {
+		return nil, err
+	}
+	s.buildState()
+	s.buildPath()
+	return s, nil
+}
+
+// openState reads what the data folder holds, if there is one.
+func (s *Server) openState() error {
+	var disk storer.Disk
+	if s.settings.Data != "" {
+		folder, err := storer.Open(s.settings.Data, s.settings.Instance)
+		if err != nil {
+			return err
+		}
+		s.folder, disk = folder, folder
+		if err := s.openReplica(folder); err != nil {
+			return err
+		}
+	}
+	var err error
+	if s.config, err = enforcer.Open(disk); err != nil {
+		return err
+	}
+	s.withdrawn, err = withdrawer.Open(disk)
+	return err
+}
+
+func (s *Server) openReplica(folder *storer.Folder) error {
+	var err error
+	if s.acceptor, err = replicator.OpenAcceptor(folder, folder.Identity(), s.settings.Instance); err != nil {
+		return err
+	}
+	claims, err := folder.OpenJournal("claims")
+	if err != nil {
+		return err
+	}
+	if s.store, err = deduplicator.OpenStore(s.clock, claims); err != nil {
+		return err
+	}
+	trail, err := folder.OpenJournal("audit")
+	if err != nil {
+		return err
+	}
+	s.audit, err = auditor.Open(trail)
+	return err
+}
+
+// buildState makes what keeps the node's state.
+func (s *Server) buildState() {
+	life := randomName()
+	s.caller = caller.New(s.sealer.Client())
+	s.fetcher = newFetcher(s.caller, s.config, s.offer)
+	s.source = &source{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, fail: s.fail}
+	self := &control.Entry{
+		Instance: s.settings.Instance, Centre: s.settings.Centre, Address: s.settings.Peer,
+		Incarnation: uint64(s.started.Unix()), Replica: s.folder != nil,
+	}
+	s.carrier = &carrier{sealer: s.sealer, count: s.metrics.Add}
+	s.gossip = gossiper.New(self, s.seeds(), s.clock, s.carrier, s.source, newRandom())
+	s.carrier.receive = s.gossip.Receive
+	s.directory = &directory{gossip: s.gossip, config: s.config, caller: s.caller, centre: s.settings.Centre, holders: map[string]string{}}
+	s.proposer = replicator.NewProposer(s.caller, s.clock, s.settings.Instance+"/"+life, newRandom(), s.offer)
+	s.witness = limiter.NewWitness(s.clock)
+	s.holder = limiter.NewHolder(s.clock, s.config, s.directory, s.settings.Instance, s.settings.Centre, rand.Uint64())
+	s.spender = limiter.NewSpender(s.clock, s.directory, limiter.ByHeat{}, s.settings.Instance, s.settings.Centre, s.source.Version)
+	s.config.Subscribe(func(c *enforcer.Config) {
+		s.log.Info("inforce", "version", c.Version())
+		s.gossip.TellVersion()
+	})
+}
+
+// seeds are the addresses to join by, without the own one.
+func (s *Server) seeds() []string {
+	var list []string
+	for _, address := range append(append([]string(nil), s.settings.Seeds...), s.settings.Replicas...) {
+		if address != s.settings.Peer {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// buildPath makes the data path.
+func (s *Server) buildPath() {
+	s.admitter = admitter.New(s.clock, &admitter.Gradient{})
+	claimer := deduplicator.NewClaimer(s.clock, s.caller, func() (uint64, []*control.Member) {
+		v := s.config.Current().Value()
+		return v.Epoch, v.Replicas
+	}, randomName)
+	s.forwarder = forwarder.New(forwarder.Deps{
+		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
+		Limiter: s.spender, Claimer: claimer, Admitter: s.admitter, Metrics: s.metrics,
+		Router:     router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom()),
+		Link:       forwarder.NewLink(s.sealer.Client()),
+		TargetLink: forwarder.NewTargetLink(s.settings.Connections),
+		Targets:    s.directory.targets,
+		Target:     func() *forwarder.Target { return s.announcer.Target() },
+		Ready:      s.ready, InContact: s.inContact,
+		Suspect:   func(t *forwarder.Target) { s.announcer.Suspect(t) },
+		Completed: s.completed, Draining: s.draining.Load,
+	})
+	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// fail logs an error of the node's own state.
+func (s *Server) fail(event string, err error) {
+	s.log.Error(event, "error", err.Error())
+	s.metrics.Add("errors", 1)
+}
+
+// offer puts a chosen value into force, if it is news.
+func (s *Server) offer(v *control.Value) {
+	if _, err := s.config.Offer(v); err != nil {
+		s.fail("inforce", err)
+	}
+}
+
+// Changed implements announcer.Listener.
+func (s *Server) Changed(t *forwarder.Target, cold bool) {
+	if t != nil {
+		s.admitter.Announce(t.Slots, cold)
+		s.log.Info("target", "service", t.Service, "address", t.Address, "slots", t.Slots)
+	}
+	s.gossip.Change(func(e *control.Entry) {
+		e.Service, e.Slots = "", 0
+		if t != nil && !s.draining.Load() {
+			e.Service, e.Slots = t.Service, uint32(t.Slots)
+		}
+	})
+}
+
+// Crashed implements announcer.Listener.
+func (s *Server) Crashed(crash string) {
+	digests := s.forwarder.AtCrash()
+	s.log.Warn("crash", "target", crash, "requests", len(digests))
+	s.metrics.Add("crashes", 1)
+	s.gossip.Tell(nil, s.quarantine.Crash(s.settings.Instance+"/"+crash, digests))
+}
+
+// completed clears a request that was a bystander at a crash.
+func (s *Server) completed(digest []byte) {
+	if cleared := s.quarantine.Clear(digest); cleared != nil {
+		s.gossip.Tell(nil, cleared)
+	}
+}
+
+// ready tells whether the configuration is known well enough to serve: some
+// others were heard, or there was time to hear them.
+func (s *Server) ready() bool {
+	if s.isReady.Load() {
+		return true
+	}
+	if s.config.Current().Version() == 0 {
+		return false
+	}
+	heard := s.gossip.Heard() >= min(readyHeard, len(s.seeds()))
+	if !heard && s.clock.Now().Sub(s.started) < readyMost {
+		return false
+	}
+	s.isReady.Store(true)
+	return true
+}
+
+// inContact tells whether a replica was heard of within the set bound.
+func (s *Server) inContact() bool {
+	if s.settings.Contact == 0 || s.folder != nil {
+		return true
+	}
+	bound := time.Duration(s.settings.Contact) * time.Second
+	last := s.gossip.ReplicaHeard()
+	if last.IsZero() {
+		last = s.started
+	}
+	return s.clock.Now().Sub(last) < bound
+}
+
+// listener is one HTTP server with its address.
+type listener struct {
+	server *http.Server
+	socket net.Listener
+	secure bool
+}
+
+func (l *listener) run() {
+	var err error
+	if l.secure {
+		err = l.server.ServeTLS(l.socket, "", "")
+	} else {
+		err = l.server.Serve(l.socket)
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		slog.Error("listen", "address", l.socket.Addr().String(), "error", err.Error())
+	}
+}
+
+// quietLog keeps the library's own lines out of the log: they are no events
+// and may quote what callers sent.
+type quietLog struct{ count func(string, int64) }
+
+// Write implements io.Writer.
+func (q quietLog) Write(p []byte) (int, error) {
+	q.count("connection_errors", 1)
+	return len(p), nil
+}
+
+func (s *Server) listen(address string, handler http.Handler, secure bool) (*listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepIdle, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(slog.NewTextHandler(quietLog{s.metrics.Add}, nil), slog.LevelError),
+	}
+	if secure {
+		server.TLSConfig = s.sealer.Server()
+		server.MaxHeaderBytes += hopHeader
+		server.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){}
+	}
+	return &listener{server: server, socket: socket, secure: secure}, nil
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (s *Server) Run(ctx context.Context) error {
+	udp, err := listenUDP(s.settings.Peer, s.sealer, s.metrics.Add)
+	if err != nil {
+		return err
+	}
+	s.carrier.conn = udp.conn
+	peer, err := s.listen(s.settings.Peer, s.peerHandler(), true)
+	if err != nil {
+		return err
+	}
+	entry, err := s.listen(s.settings.Listen, s.forwarder, false)
+	if err != nil {
+		return err
+	}
+	admin, err := s.listen(s.settings.Admin, s.adminHandler(), false)
+	if err != nil {
+		return err
+	}
+	listeners := []*listener{entry, peer, admin}
+	for _, l := range listeners {
+		go l.run()
+	}
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group := &group{}
+	for _, c := range s.controllers() {
+		group.start(inner, c)
+	}
+	s.log.Info("start", "instance", s.settings.Instance, "centre", s.settings.Centre, "listen", s.settings.Listen,
+		"peer", s.settings.Peer, "admin", s.settings.Admin, "data", s.settings.Data, "version", s.config.Current().Version())
+	<-ctx.Done()
+	s.stop(listeners)
+	cancel()
+	group.Wait()
+	s.log.Info("stop", "instance", s.settings.Instance)
+	return nil
+}
+
+// group waits for controllers.
+type group struct{ sync.WaitGroup }
+
+type member struct {
+	group      *group
+	controller Controller
+}
+
+func (g *group) start(ctx context.Context, c Controller) {
+	g.Add(1)
+	m := &member{group: g, controller: c}
+	go m.run(ctx)
+}
+
+func (m *member) run(ctx context.Context) {
+	defer m.group.Done()
+	m.controller.Run(ctx)
+}
+
+// stop announces that the node leaves, waits until others have heard of it
+// and until the requests are through, then closes the listeners.
+func (s *Server) stop(listeners []*listener) {
+	s.log.Info("drain", "instance", s.settings.Instance)
+	s.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), stopMost)
+	defer cancel()
+	s.gossip.Change(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
+	if err := s.announcer.Drain(ctx); err != nil {
+		s.fail("drain", err)
+	}
+	if s.announcer.Target() == nil {
+		<-s.clock.After(announcer.Spread)
+	}
+	for _, l := range listeners {
+		if err := l.server.Shutdown(ctx); err != nil {
+			s.fail("shutdown", err)
+		}
+	}
+}
+
+// peerHandler serves other nodes: control messages and requests for the own
+// target.
+func (s *Server) peerHandler() http.Handler {
+	peer := control.NewPeerServer(&peerService{s})
+	mux := http.NewServeMux()
+	mux.Handle(peer.PathPrefix(), bounded(peer))
+	if s.folder != nil {
+		replica := control.NewReplicaServer(&replicaService{acceptor: s.acceptor, store: s.store})
+		mux.Handle(replica.PathPrefix(), bounded(replica))
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forwarder.IsHop(r) {
+			s.forwarder.ServeHop(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// maxMessage bounds a control message, in bytes.
+const maxMessage = 64 << 20
+
+func bounded(h http.Handler) http.Handler { return http.MaxBytesHandler(h, maxMessage) }
+
+// adminHandler serves operators, metrics, and the own target.
+func (s *Server) adminHandler() http.Handler {
+	operator := control.NewOperatorServer(&operatorService{s})
+	mux := http.NewServeMux()
+	mux.Handle(operator.PathPrefix(), s.identifyOperator(bounded(operator)))
+	mux.Handle("/announce", localOnly(s.announcer))
+	mux.HandleFunc("GET /debug/vars", s.serveMetrics)
+	mux.HandleFunc("GET /{$}", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, "primrosed "+s.settings.Instance+"\n/debug/vars metrics\n/announce for the own target")
+	})
+	return mux
+}
+
+// localOnly admits only the machine that the node runs on.
+func localOnly(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		host, _, err := net.SplitHostPort(r.RemoteAddr)
+		local, _, _ := net.SplitHostPort(fmt.Sprint(r.Context().Value(http.LocalAddrContextKey)))
+		if err != nil || (!net.ParseIP(host).IsLoopback() && host != local) {
+			http.Error(w, "only the own target may announce itself", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serveMetrics writes the metrics of the node with those of the process.
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	load := s.admitter.Load()
+	gauges := map[string]int64{
+		"version": int64(s.config.Current().Version()), "members": int64(len(s.gossip.Members())),
+		"inflight": int64(load.Inflight), "queued": int64(load.Queued), "limit": int64(load.Limit),
+		"slots": int64(load.Slots), "level": int64(load.Level),
+	}
+	for name, value := range gauges {
+		v := new(expvar.Int)
+		v.Set(value)
+		s.metrics.Set(name, v)
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	var parts []string
+	parts = append(parts, `"primrosed": `+s.metrics.String())
+	expvar.Do(func(kv expvar.KeyValue) {
+		parts = append(parts, fmt.Sprintf("%q: %s", kv.Key, kv.Value))
+	})
+	fmt.Fprintf(w, "{\n%s\n}\n", strings.Join(parts, ",\n"))
+}
--- /dev/null
+++ b/pkg/server/services.go
@@ -0,0 +1,124 @@
+package server
+
+import (
+	"context"
+	"sync"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/pkg/replicator"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// replicaService answers as a replica.
+type replicaService struct {
+	acceptor *replicator.Acceptor
+	store    *deduplicator.Store
+	// moving keeps claims and the hand-over of records apart: once records
+	// are handed over, no claim of an earlier epoch is granted.
+	moving sync.RWMutex
+}
+
+// Identify implements control.Replica.
+func (s *replicaService) Identify(context.Context, *control.IdentifyRequest) (*control.IdentifyReply, error) {
+	reply := s.acceptor.Identify()
+	reply.Records = s.store.Epoch()
+	return reply, nil
+}
+
+// Prepare implements control.Replica.
+func (s *replicaService) Prepare(_ context.Context, r *control.PrepareRequest) (*control.PrepareReply, error) {
+	reply, err := s.acceptor.Prepare(r)
+	return reply, wrap(err)
+}
+
+// Accept implements control.Replica.
+func (s *replicaService) Accept(_ context.Context, r *control.AcceptRequest) (*control.AcceptReply, error) {
+	reply, err := s.acceptor.Accept(r)
+	return reply, wrap(err)
+}
+
+// Install implements control.Replica.
+func (s *replicaService) Install(_ context.Context, r *control.InstallRequest) (*control.InstallReply, error) {
+	reply, err := s.acceptor.Install(r)
+	return reply, wrap(err)
+}
+
+// Claim implements control.Replica.
+func (s *replicaService) Claim(_ context.Context, r *control.ClaimRequest) (*control.ClaimReply, error) {
+	s.moving.RLock()
+	defer s.moving.RUnlock()
+	at := s.acceptor.Identify()
+	if at.Identity != r.Replica || at.Epoch != r.Epoch || s.store.Epoch() != r.Epoch {
+		return &control.ClaimReply{Abstained: true}, nil
+	}
+	reply, err := s.store.Claim(r.Record)
+	return reply, wrap(err)
+}
+
+// Settle implements control.Replica.
+func (s *replicaService) Settle(_ context.Context, r *control.SettleRequest) (*control.SettleReply, error) {
+	return &control.SettleReply{}, wrap(s.store.Settle(r.Record, r.Release))
+}
+
+// Records implements control.Replica.
+func (s *replicaService) Records(_ context.Context, r *control.RecordsRequest) (*control.RecordsReply, error) {
+	s.moving.Lock()
+	defer s.moving.Unlock()
+	at := s.acceptor.Identify()
+	if at.Identity != r.Replica {
+		return nil, wrap(&replicator.IdentityError{Asked: r.Replica, Have: at.Identity})
+	}
+	return &control.RecordsReply{Records: s.store.All(), Epoch: at.Epoch, Complete: s.store.Epoch()}, nil
+}
+
+// wrap keeps the text of an error on its way to another node.
+func wrap(err error) error {
+	if err == nil {
+		return nil
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
+
+// peerService answers other nodes.
+type peerService struct{ server *Server }
+
+// Sync implements control.Peer.
+func (p *peerService) Sync(_ context.Context, r *control.SyncRequest) (*control.SyncReply, error) {
+	return p.server.gossip.AnswerSync(r, p.server.source), nil
+}
+
+// Fetch implements control.Peer.
+func (p *peerService) Fetch(context.Context, *control.FetchRequest) (*control.Value, error) {
+	return p.server.config.Current().Value(), nil
+}
+
+// Withdraw implements control.Peer.
+func (p *peerService) Withdraw(_ context.Context, r *control.WithdrawRequest) (*control.WithdrawReply, error) {
+	stored, err := p.server.withdraw(r.Hashes)
+	return &control.WithdrawReply{Stored: stored}, wrap(err)
+}
+
+// Tokens implements control.Peer.
+func (p *peerService) Tokens(_ context.Context, r *control.TokensRequest) (*control.TokensReply, error) {
+	return p.server.holder.Tokens(r), nil
+}
+
+// Lease implements control.Peer.
+func (p *peerService) Lease(_ context.Context, r *control.LeaseRequest) (*control.LeaseReply, error) {
+	return p.server.witness.Vote(r), nil
+}
+
+// History implements control.Peer.
+func (p *peerService) History(_ context.Context, r *control.HistoryRequest) (*control.HistoryReply, error) {
+	if p.server.audit == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this instance has no data folder")
+	}
+	return &control.HistoryReply{Changes: p.server.audit.From(r.From)}, nil
+}
+
+// Probe implements control.Peer.
+func (p *peerService) Probe(context.Context, *control.ProbeRequest) (*control.ProbeReply, error) {
+	return &control.ProbeReply{Instance: p.server.settings.Instance, Version: p.server.config.Current().Version()}, nil
+}
--- /dev/null
+++ b/pkg/timekeeper/timekeeper.go
@@ -0,0 +1,74 @@
+// Package timekeeper passes the clock in, so that every decision that depends
+// on time can be tested without waiting.
+package timekeeper
+
+import (
+	"sync"
+	"time"
+)
+
+// Clock tells the time and wakes sleepers.
+type Clock interface {
+	// Now returns the time; its monotonic part orders leases and expiries.
+	Now() time.Time
+	// After returns a channel that gets the time once d has passed.
+	After(d time.Duration) <-chan time.Time
+}
+
+// System is the machine's clock. The zero value works.
+type System struct{}
+
+// Now implements Clock.
+func (System) Now() time.Time { return time.Now() }
+
+// After implements Clock.
+func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// Manual is a clock that moves only when it is told to. The zero value works
+// and starts at the zero time.
+type Manual struct {
+	mu       sync.Mutex
+	now      time.Time
+	sleepers []sleeper
+}
+
+type sleeper struct {
+	at time.Time
+	ch chan time.Time
+}
+
+// Now implements Clock.
+func (m *Manual) Now() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// After implements Clock.
+func (m *Manual) After(d time.Duration) <-chan time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ch := make(chan time.Time, 1)
+	if d <= 0 {
+		ch <- m.now
+		return ch
+	}
+	m.sleepers = append(m.sleepers, sleeper{at: m.now.Add(d), ch: ch})
+	return ch
+}
+
+// Advance moves the clock by d and wakes every sleeper whose time has come.
+func (m *Manual) Advance(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = m.now.Add(d)
+	var rest []sleeper
+	for _, s := range m.sleepers {
+		if s.at.After(m.now) {
+			rest = append(rest, s)
+			continue
+		}
+		s.ch <- m.now
+	}
+	m.sleepers = rest
+}
--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,336 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/emulator"
+)
+
+// patience bounds a wait for something that must come; it is no verdict on
+// how fast it came.
+const patience = 60 * time.Second
+
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(withPrograms(m))
+}
+
+func withPrograms(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "primrosewall")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	programs = folder
+	build := exec.Command("go", "build", "-o", folder+"/", "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	return m.Run()
+}
+
+// fleet is a number of nodes, each with a target.
+type fleet struct {
+	*qt.C
+	folder string
+	nodes  map[string]*node
+	order  []string
+}
+
+// node is one instance: a daemon and its target.
+type node struct {
+	fleet                       *fleet
+	name, centre                string
+	listen, peer, admin, target string
+	replica                     bool
+	options                     []string
+	daemon, stand               *exec.Cmd
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{C: qt.New(t), folder: t.TempDir(), nodes: map[string]*node{}}
+	f.Assert(os.WriteFile(f.path("secret"), []byte("a fleet secret for tests only"), 0o600), qt.IsNil)
+	return f
+}
+
+func (f *fleet) path(name string) string { return filepath.Join(f.folder, name) }
+
+func freeAddress(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// add describes a node; options are flags of its target.
+func (f *fleet) add(name, centre string, replica bool, options ...string) *node {
+	n := &node{fleet: f, name: name, centre: centre, replica: replica, options: options}
+	for _, a := range []*string{&n.listen, &n.peer, &n.admin, &n.target} {
+		*a = freeAddress(f.C)
+	}
+	f.nodes[name] = n
+	f.order = append(f.order, name)
+	return n
+}
+
+// start starts all daemons, then all targets.
+func (f *fleet) start() {
+	for _, name := range f.order {
+		f.nodes[name].startDaemon()
+	}
+	for _, name := range f.order {
+		f.nodes[name].startTarget()
+	}
+}
+
+func (f *fleet) replicas() []string {
+	var list []string
+	for _, name := range f.order {
+		if f.nodes[name].replica {
+			list = append(list, f.nodes[name].peer)
+		}
+	}
+	return list
+}
+
+func (n *node) startDaemon() {
+	f := n.fleet
+	settings := map[string]any{
+		"instance": n.name, "centre": n.centre, "listen": n.listen, "peer": n.peer, "admin": n.admin,
+		"secret": f.path("secret"), "replicas": f.replicas(), "seeds": f.replicas(),
+	}
+	if n.replica {
+		settings["data"] = f.path(n.name + ".data")
+	}
+	text, err := json.Marshal(settings)
+	f.Assert(err, qt.IsNil)
+	f.Assert(os.WriteFile(f.path(n.name+".json"), text, 0o600), qt.IsNil)
+	n.daemon = f.spawn(n.name, "primrosed", "-settings", f.path(n.name+".json"))
+}
+
+func (n *node) startTarget() {
+	if len(n.options) == 0 {
+		return
+	}
+	f := n.fleet
+	args := append([]string{"target", "-listen", n.target, "-admin", n.admin, "-entry", n.listen, "-record", f.path(n.name + ".seen")}, n.options...)
+	n.stand = f.spawn(n.name+".target", "primrose", args...)
+}
+
+// spawn starts a program whose log goes to a file; the test's end kills it.
+func (f *fleet) spawn(name, program string, args ...string) *exec.Cmd {
+	log, err := os.OpenFile(f.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f.Assert(err, qt.IsNil)
+	c := exec.Command(filepath.Join(programs, program), args...)
+	c.Stderr, c.Stdout = log, log
+	f.Assert(c.Start(), qt.IsNil)
+	f.Cleanup(func() {
+		_ = c.Process.Kill()
+		_, _ = c.Process.Wait()
+		log.Close()
+	})
+	return c
+}
+
+func (f *fleet) signal(c *exec.Cmd, s syscall.Signal) { f.Assert(c.Process.Signal(s), qt.IsNil) }
+
+// kill ends a process at once and waits for its end.
+func (f *fleet) kill(c *exec.Cmd) {
+	f.signal(c, syscall.SIGKILL)
+	_, _ = c.Process.Wait()
+}
+
+// primrose runs the tool against a node and returns its output and exit code.
+func (n *node) primrose(args ...string) (string, int) {
+	f := n.fleet
+	verb := []string{args[0]}
+	if args[0] == "key" {
+		verb, args = args[:2], args[1:]
+	}
+	all := append(verb, "-node", n.admin, "-as", "tester")
+	if verb[0] != "status" && verb[0] != "audit" && verb[0] != "show" && verb[0] != "replace" && (len(verb) < 2 || verb[1] != "withdraw") {
+		all = append(all, "-plans", f.path("plans"))
+	}
+	c := exec.Command(filepath.Join(programs, "primrose"), append(all, args[1:]...)...)
+	out, err := c.CombinedOutput()
+	if _, ok := err.(*exec.ExitError); !ok {
+		f.Assert(err, qt.IsNil)
+	}
+	return string(out), c.ProcessState.ExitCode()
+}
+
+// plan plans a declaration and returns the plan's id.
+func (n *node) plan(declaration string) string {
+	f := n.fleet
+	file := f.path("declaration.json")
+	f.Assert(os.WriteFile(file, []byte(declaration), 0o600), qt.IsNil)
+	out, code := n.primrose("plan", file)
+	f.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	return planID(out)
+}
+
+// planID finds the id in the last line of a plan.
+func planID(out string) string {
+	words := strings.Fields(out)
+	return words[len(words)-1]
+}
+
+// declare plans and confirms, and waits until the version is in force
+// everywhere.
+func (n *node) declare(declaration string) {
+	f := n.fleet
+	f.until("the node knows the replicas", func() bool { return n.metric("version") > 0 })
+	out, code := n.primrose("confirm", n.plan(declaration))
+	f.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	f.settle(n)
+}
+
+// giveKey gives a team a key and waits until it is in force everywhere.
+func (n *node) giveKey(team string) (key, hash string) {
+	f := n.fleet
+	out, code := n.primrose("key", "give", team)
+	f.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	lines := strings.Split(out, "\n")
+	key = strings.TrimPrefix(lines[0], "key (shown once): ")
+	hash = strings.TrimPrefix(lines[1], "hash: ")
+	out, code = n.primrose("confirm", planID(out))
+	f.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	f.settle(n)
+	return key, hash
+}
+
+// settle waits until every node that runs has the version of n.
+func (f *fleet) settle(n *node) {
+	f.until("the version is in force everywhere", func() bool {
+		for _, other := range f.nodes {
+			if other.metric("version") < n.metric("version") {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// metric reads one number, or -1 when the node does not answer.
+func (n *node) metric(name string) float64 {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + n.admin + "/debug/vars")
+	if err != nil {
+		return -1
+	}
+	defer response.Body.Close()
+	var all struct {
+		Primrosed map[string]float64 `json:"primrosed"`
+	}
+	if json.NewDecoder(response.Body).Decode(&all) != nil {
+		return -1
+	}
+	return all.Primrosed[name]
+}
+
+func (f *fleet) until(what string, ready func() bool) {
+	f.Helper()
+	end := time.Now().Add(patience)
+	for !ready() {
+		if time.Now().After(end) {
+			f.Fatalf("waited in vain until %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// reply is an answer, read whole.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends one request on a connection of its own.
+func (n *node) ask(method, path string, body io.Reader, header map[string]string) reply {
+	r, err := http.NewRequest(method, "http://"+n.listen+path, body)
+	n.fleet.Assert(err, qt.IsNil)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	r.Close = true
+	return do(http.DefaultClient, r)
+}
+
+func do(client *http.Client, r *http.Request) reply {
+	response, err := client.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+func bearer(key string) map[string]string {
+	return map[string]string{"Authorization": "Bearer " + key}
+}
+
+// seen reads what the target of a node has seen.
+func (n *node) seen() []emulator.Seen {
+	raw, err := os.ReadFile(n.fleet.path(n.name + ".seen"))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	n.fleet.Assert(err, qt.IsNil)
+	var list []emulator.Seen
+	for _, line := range bytes.Split(bytes.TrimSpace(raw), []byte("\n")) {
+		var s emulator.Seen
+		if json.Unmarshal(line, &s) == nil {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// twoServices declares the routes that most tests use.
+const twoServices = `{
+  "centres": {"east": {"witnesses": ["a", "b"]}, "west": {"witnesses": ["c"]}},
+  "teams": {"acme": {"keys": [], "rate": 100000, "burst": 100000}},
+  "routes": [
+    {"name": "front", "path": "/front", "service": "front", "important": true},
+    {"name": "back", "path": "/back", "service": "back"},
+    {"name": "open", "path": "/open", "service": "back", "open": true}
+  ]
+}`
+
+// threeNodes is the fleet of the first process test.
+func threeNodes(t *testing.T) (*fleet, *node, *node, *node) {
+	f := newFleet(t)
+	a := f.add("a", "east", true, "-service", "front", "-next", "/back/deep")
+	b := f.add("b", "east", false, "-service", "back")
+	c := f.add("c", "west", false, "-service", "back")
+	f.start()
+	a.declare(twoServices)
+	f.until("targets are known", func() bool {
+		return a.ask("GET", "/open", nil, nil).status == 200 && c.ask("GET", "/open", nil, nil).status == 200
+	})
+	return f, a, b, c
+}
+
+// first waits until a keyed request is served: buckets are empty for a term
+// after a holder has got its lease.
+func (f *fleet) first(n *node, path, key string) {
+	f.until("the team has tokens", func() bool { return n.ask("GET", path, nil, bearer(key)).status == 200 })
+}
--- /dev/null
+++ b/test/path_test.go
@@ -0,0 +1,203 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestWholePath follows a request through separate processes, and what must
+// hold on its way.
+func TestWholePath(t *testing.T) {
+	f, a, b, c := threeNodes(t)
+	key, hash := b.giveKey("acme")
+	f.first(c, "/front", key)
+
+	t.Run("a caller gets the whole answer", func(t *testing.T) {
+		got := c.ask("GET", "/front/x?id=7", nil, bearer(key))
+		qt.Assert(t, got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+		qt.Assert(t, got.body, qt.Equals, "front GET /front/x?id=7 body=0 team=acme [back GET /back/deep?for=7 body=0 team=acme []]\n")
+	})
+	t.Run("refusals are typed and say not run", func(t *testing.T) {
+		for _, header := range []map[string]string{nil, bearer("pwk_wrongwrongwrongwrong"), {"Primrose-Team": "acme"}} {
+			got := c.ask("GET", "/front/refused", nil, header)
+			qt.Assert(t, got.status, qt.Equals, 401)
+			qt.Assert(t, got.header.Get("Primrose-Outcome"), qt.Equals, "notrun")
+			qt.Assert(t, got.body, qt.Contains, `"outcome":"notrun"`)
+		}
+		for _, s := range a.seen() {
+			qt.Assert(t, s.URL, qt.Not(qt.Contains), "refused")
+		}
+	})
+	t.Run("no target sees a key", func(t *testing.T) {
+		for i, header := range keyPlaces(key) {
+			got := c.ask("GET", fmt.Sprintf("/front/k%d?a=1&key=%s&b=2", i, strings.ReplaceAll(key, "_", "%5f")), nil, header)
+			qt.Assert(t, got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+		}
+		for _, n := range f.nodes {
+			raw, err := os.ReadFile(f.path(n.name + ".seen"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(raw), qt.Not(qt.Contains), key[4:])
+			log, err := os.ReadFile(f.path(n.name + ".log"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(log), qt.Not(qt.Contains), key[4:])
+		}
+	})
+	t.Run("a withdrawn key stops, also on an open connection", func(t *testing.T) {
+		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		ask := func() reply {
+			r, err := http.NewRequest("GET", "http://"+c.listen+"/back/w", nil)
+			qt.Assert(t, err, qt.IsNil)
+			r.Header.Set("Authorization", "Bearer "+key)
+			return do(client, r)
+		}
+		qt.Assert(t, ask().status, qt.Equals, 200)
+		out, code := b.primrose("key", "withdraw", hash)
+		qt.Assert(t, code, qt.Equals, 0, qt.Commentf("%s", out))
+		f.until("the key has stopped", func() bool { return ask().status == 401 })
+	})
+	t.Run("the audit trail is whole", func(t *testing.T) {
+		out, code := c.primrose("audit")
+		qt.Assert(t, code, qt.Equals, 0)
+		for _, want := range []string{"version=1 ", "version=2 base=1 ", "version=3 base=2 ", "tester", "+ team acme: key " + hash} {
+			qt.Assert(t, out, qt.Contains, want)
+		}
+	})
+}
+
+// keyPlaces are ways in which callers send keys.
+func keyPlaces(key string) []map[string]string {
+	return []map[string]string{
+		bearer(key),
+		{"Primrose-Key": key},
+		{"Authorization": "Bearer " + key, "Proxy-Authorization": "Bearer " + key, "Cookie": "a=1; k=" + key + "; b=2"},
+		{"Authorization": "Bearer " + key, "X-Custom": "my " + key, "Referer": "http://x/?k=" + key},
+		{"Authorization": "Bearer " + key, "Connection": "X-Hop", "X-Hop": "1", "Primrose-Team": "other"},
+	}
+}
+
+// TestPlannedStopCutsNothing stops a target and a node under load.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f, a, b, c := threeNodes(t)
+	key, _ := a.giveKey("acme")
+	f.first(a, "/back", key)
+	l := &load{node: a, key: key, stop: make(chan struct{}), failures: map[string]int{}}
+	l.start(8)
+	upload := &upload{node: a, key: key, done: make(chan reply, 1), path: "/back/upload"}
+	go upload.run()
+	time.Sleep(300 * time.Millisecond)
+	f.signal(b.stand, syscall.SIGTERM)
+	_, err := b.stand.Process.Wait()
+	f.Assert(err, qt.IsNil)
+	f.signal(b.daemon, syscall.SIGTERM)
+	_, err = b.daemon.Process.Wait()
+	f.Assert(err, qt.IsNil)
+	close(l.stop)
+	l.group.Wait()
+	f.Assert(l.failures, qt.HasLen, 0)
+	f.Assert(l.good > 100, qt.IsTrue, qt.Commentf("%d", l.good))
+	got := <-upload.done
+	f.Assert(got.status, qt.Equals, 200, qt.Commentf("%+v", got))
+	f.Assert(got.body, qt.Contains, fmt.Sprintf("body=%d ", uploadChunks*uploadChunk))
+	f.Assert(len(b.seen()) > 0 && len(c.seen()) > 0, qt.IsTrue)
+}
+
+// load sends requests until it is stopped and counts what was not served.
+type load struct {
+	node     *node
+	key      string
+	stop     chan struct{}
+	group    sync.WaitGroup
+	mu       sync.Mutex
+	good     int
+	failures map[string]int
+}
+
+func (l *load) start(workers int) {
+	for range workers {
+		l.group.Add(1)
+		go l.run()
+	}
+}
+
+func (l *load) run() {
+	defer l.group.Done()
+	client := &http.Client{Transport: &http.Transport{}}
+	for {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		r, err := http.NewRequest("GET", "http://"+l.node.listen+"/back/load", nil)
+		if err != nil {
+			panic(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+l.key)
+		got := do(client, r)
+		l.mu.Lock()
+		if got.status == 200 && got.err == nil {
+			l.good++
+		} else {
+			l.failures[fmt.Sprint(got.status, got.body, got.err)]++
+		}
+		l.mu.Unlock()
+	}
+}
+
+const (
+	uploadChunks = 30
+	uploadChunk  = 8 << 10
+)
+
+// upload sends a long body slowly.
+type upload struct {
+	node      *node
+	key, path string
+	done      chan reply
+}
+
+func (u *upload) run() {
+	r, w := io.Pipe()
+	go u.loop(w)
+	u.done <- u.node.ask("POST", u.path, r, bearer(u.key))
+}
+
+func (u *upload) loop(w *io.PipeWriter) {
+	for range uploadChunks {
+		if _, err := w.Write(make([]byte, uploadChunk)); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.Close()
+}
+
+// TestKilledReplicaLosesNothing kills the replica after a confirmation and
+// starts it again on the same data folder.
+func TestKilledReplicaLosesNothing(t *testing.T) {
+	f, a, b, _ := threeNodes(t)
+	key, hash := b.giveKey("acme")
+	_, code := b.primrose("key", "withdraw", "sha256:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA")
+	f.Assert(code, qt.Equals, 0)
+	for _, n := range f.nodes {
+		f.kill(n.daemon)
+	}
+	for _, name := range f.order {
+		f.nodes[name].startDaemon()
+	}
+	f.until("the version is back", func() bool { return a.metric("version") == 3 && b.metric("version") == 3 })
+	f.first(b, "/back", key)
+	out, _ := b.primrose("show")
+	f.Assert(out, qt.Contains, hash)
+	out, _ = b.primrose("audit")
+	f.Assert(out, qt.Contains, "version=3 base=2")
+}
--- /dev/null
+++ b/tools/tools.go
@@ -0,0 +1,10 @@
+//go:build tools
+
+// Package tools pins the programs that check and generate code.
+package tools
+
+import (
+	_ "github.com/twitchtv/twirp/protoc-gen-twirp"
+	_ "google.golang.org/protobuf/cmd/protoc-gen-go"
+	_ "honnef.co/go/tools/cmd/staticcheck"
+)
