Register: model check, races, restarts, lost disks; three faults mended

Cause of each, found by the new tests: - A change that was accepted by a majority of disks while every node that had heard of it was killed stayed out of force until the next change. A replica now reads the register when an accepted version is not in force (reader). - After a replacement the next set waited for members that had not been reached, though every node knew the chosen value. A member now installs the value in force by itself (joiner); asking another member is gone. - "replace" answered before the new member had copied the claim records, so a second loss just after the repair left no majority that knew all claims. It now answers when the new member has its vote. - Plan ids could begin with a dash and looked like flags; they are hexadecimal. - Confirm gave up at once when a replica had just started; it now tries until its time is over.

A port clash in the tests came from the range of outgoing ports, not from the daemon.

--- a/pkg/commander/connection.go
+++ b/pkg/commander/connection.go
@@ -14,7 +14,7 @@
 )
 
 // callTimeout bounds one call to a node.
-const callTimeout = 10 * time.Second
+const callTimeout = 20 * time.Second
 
 // connection says which node to talk to, and as whom.
 type connection struct {
--- a/pkg/commander/replace.go
+++ b/pkg/commander/replace.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/rand"
-	"encoding/base64"
+	"encoding/hex"
 	"fmt"
 
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -34,11 +34,11 @@
 		return t.fail(err)
 	}
 	if request.Id == "" {
-		var raw [9]byte
+		var raw [8]byte
 		if _, err := rand.Read(raw[:]); err != nil {
 			return t.fail(err)
 		}
-		request.Id = base64.RawURLEncoding.EncodeToString(raw[:])
+		request.Id = hex.EncodeToString(raw[:])
 		fmt.Fprintf(t.out, "change %s\n", request.Id)
 	}
 	ctx, cancel := callContext()
--- a/pkg/declarer/differ.go
+++ b/pkg/declarer/differ.go
@@ -2,8 +2,8 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"sort"
@@ -17,15 +17,18 @@
 	return append(lines, diffRoutes(old, next)...)
 }
 
+// planBytes is the length of a plan's id, in bytes.
+const planBytes = 8
+
 // PlanID names a plan: the same declaration on the same base version always
-// has the same id.
+// has the same id. It never begins with a dash, which would look like a flag.
 func PlanID(base uint64, canonical []byte) string {
 	h := sha256.New()
 	var number [8]byte
 	binary.BigEndian.PutUint64(number[:], base)
 	h.Write(number[:])
 	h.Write(canonical)
-	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:12])
+	return hex.EncodeToString(h.Sum(nil)[:planBytes])
 }
 
 func diffCentres(old, next *Declaration) []string {
--- a/pkg/replicator/proposer.go
+++ b/pkg/replicator/proposer.go
@@ -15,6 +15,8 @@
 const (
 	// maxBackoff bounds the pause after another proposer was in the way.
 	maxBackoff = 40 * time.Millisecond
+	// quorumPause is the pause after too few replicas answered.
+	quorumPause = 100 * time.Millisecond
 	// callTimeout bounds one message to one replica.
 	callTimeout = 2 * time.Second
 )
@@ -95,26 +97,31 @@
 func (e *errPreempted) Error() string { return "another proposer has a higher ballot" }
 
 // Run applies update to the register, starting from any value known, and
-// returns the value that stands afterwards.
+// returns the value that stands afterwards. It tries until the context ends;
+// then whether the change was made is not known.
 func (p *Proposer) Run(ctx context.Context, known *control.Value, update Update) (*control.Value, error) {
 	at := viewOf(known.Epoch, known)
 	for {
 		value, err := p.round(ctx, at, update)
 		var moved *errMoved
 		var preempted *errPreempted
+		var quorum *QuorumError
+		pause := time.Duration(0)
 		switch {
 		case errors.As(err, &moved):
 			at = moved.to
 		case errors.As(err, &preempted):
 			p.raise(preempted.highest.GetCount())
-			if err := p.pause(ctx); err != nil {
-				return nil, err
-			}
+			pause = p.backoff()
+		case errors.As(err, &quorum):
+			pause = quorumPause
 		default:
 			return value, err
 		}
-		if err := ctx.Err(); err != nil {
-			return nil, fmt.Errorf("propose: %w", err)
+		select {
+		case <-p.clock.After(pause):
+		case <-ctx.Done():
+			return nil, fmt.Errorf("propose: %w: %w", ctx.Err(), err)
 		}
 	}
 }
@@ -275,16 +282,11 @@
 	p.count = max(p.count, count)
 }
 
-func (p *Proposer) pause(ctx context.Context) error {
+// backoff is a random time, so that rivals get out of each other's way.
+func (p *Proposer) backoff() time.Duration {
 	p.mu.Lock()
-	d := time.Duration(p.random.Int64N(int64(maxBackoff)))
-	p.mu.Unlock()
-	select {
-	case <-p.clock.After(d):
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("propose: %w", ctx.Err())
-	}
+	defer p.mu.Unlock()
+	return time.Duration(p.random.Int64N(int64(maxBackoff)))
 }
 
 func orTimeout(err error) error {
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/planner"
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -26,7 +27,7 @@
 		s.announcer,
 	}
 	if s.folder != nil {
-		list = append(list, &joiner{s}, &copier{s}, &historian{s})
+		list = append(list, &joiner{s}, &reader{server: s}, &copier{server: s}, &historian{s})
 	}
 	return list
 }
@@ -34,6 +35,9 @@
 const (
 	// joinPeriod is how often a replica looks whether it must join its set.
 	joinPeriod = 200 * time.Millisecond
+	// readPeriod is how often a replica looks for accepted values that are not
+	// in force.
+	readPeriod = 300 * time.Millisecond
 	// copyPeriod is how often a replica looks whether records are missing.
 	copyPeriod = 200 * time.Millisecond
 	// expirePeriod is how often old claim records are dropped.
@@ -64,7 +68,7 @@
 	c.server.gossip.SyncLoop(ctx, c.server.caller, c.server.source)
 }
 
-// joiner founds the fleet, or brings this replica into the set that it
+// joiner founds the fleet, and brings this replica into the set that it
 // belongs to.
 type joiner struct{ server *Server }
 
@@ -74,91 +78,86 @@
 func (c *joiner) step(ctx context.Context) {
 	s := c.server
 	own := s.acceptor.Identify()
-	if own.Epoch == 0 {
-		c.found(ctx, own)
-	}
 	value := s.config.Current().Value()
-	if value.Epoch <= s.acceptor.Epoch() || !hasMember(value.Replicas, own.Identity) {
+	switch {
+	case value.Version == 0 && own.Epoch == 0:
+		value = c.found(ctx, own)
+	case value.Version == 0 && own.Value.GetVersion() == 1:
+		// Stopped between founding and putting that into force.
+		s.offer(own.Value)
+	}
+	if value == nil || value.Epoch <= own.Epoch || !replicator.Votes(value.Epoch, value, own.Identity) {
 		return
 	}
-	for _, m := range value.Replicas {
-		if m.Identity != own.Identity && c.joinFrom(ctx, m.Address, own.Identity) {
-			return
-		}
+	// The value in force is chosen, so it may begin its epoch here.
+	_, err := s.acceptor.Install(&control.InstallRequest{Replica: own.Identity, Epoch: value.Epoch, Value: value})
+	if err != nil {
+		s.fail("join", err)
+		return
 	}
+	s.log.Info("join", "epoch", value.Epoch, "replicas", len(value.Replicas))
+	s.offer(value)
 }
 
 // found makes the first value when this replica is the founder and nobody has
-// been founded yet. Only one replica ever founds, so there is no race.
-func (c *joiner) found(ctx context.Context, own *control.IdentifyReply) {
+// been founded yet. Only one replica ever founds, so there is no race; the
+// others hear of the value.
+func (c *joiner) found(ctx context.Context, own *control.IdentifyReply) *control.Value {
 	s := c.server
 	first := s.settings.Replicas
-	if len(first) == 0 {
-		return
+	if len(first) == 0 || first[0] != s.settings.Peer {
+		return nil
 	}
-	var members []*control.Member
-	for _, address := range first {
-		reply := own
-		if address != s.settings.Peer {
-			var err error
-			if reply, err = s.caller.Replica(address).Identify(ctx, &control.IdentifyRequest{}); err != nil {
-				return
-			}
-		}
-		if reply.Epoch != 0 {
-			c.joinFrom(ctx, address, own.Identity)
-			return
+	members := []*control.Member{{Identity: own.Identity, Address: s.settings.Peer}}
+	for _, address := range first[1:] {
+		reply, err := s.caller.Replica(address).Identify(ctx, &control.IdentifyRequest{})
+		if err != nil || reply.Epoch != 0 {
+			return nil
 		}
 		members = append(members, &control.Member{Identity: reply.Identity, Address: address})
 	}
-	if first[0] != s.settings.Peer {
-		return
-	}
-	c.install(planner.Found(members), own.Identity)
+	return planner.Found(members)
 }
 
-// install brings the founding value to this replica first; the others join
-// from here.
-func (c *joiner) install(value *control.Value, identity string) {
-	s := c.server
-	_, err := s.acceptor.Install(&control.InstallRequest{Replica: identity, Epoch: value.Epoch, Value: value})
-	if err != nil {
-		s.fail("found", err)
-		return
-	}
-	s.log.Info("found", "replicas", len(value.Replicas))
-	s.offer(value)
+// reader finds out whether a value that this replica has accepted was chosen.
+// Its proposer may have died, or every node that had heard of it may have
+// stopped, after the operator had the answer.
+type reader struct {
+	server *Server
+	// seen is the version that waited at the last step.
+	seen uint64
 }
 
-// joinFrom takes a proposal of the set's epoch from a member, as if it came
-// late from its proposer. It returns whether this replica votes now.
-func (c *joiner) joinFrom(ctx context.Context, address, identity string) bool {
+// Run implements Controller.
+func (c *reader) Run(ctx context.Context) { c.server.every(ctx, readPeriod, c.step) }
+
+// step reads the register when an accepted version is still not in force one
+// period later; by then its proposer has usually spread it.
+func (c *reader) step(ctx context.Context) {
 	s := c.server
-	reply, err := s.caller.Replica(address).Identify(ctx, &control.IdentifyRequest{})
-	if err != nil || reply.Epoch <= s.acceptor.Epoch() || !replicator.Votes(reply.Epoch, reply.Value, identity) {
-		return false
+	accepted := s.acceptor.Identify().Value
+	if accepted.GetVersion() <= s.config.Current().Version() {
+		c.seen = 0
+		return
 	}
-	_, err = s.acceptor.Install(&control.InstallRequest{Replica: identity, Epoch: reply.Epoch, Ballot: reply.Accepted, Value: reply.Value})
-	if err != nil {
-		s.fail("join", err)
-		return false
+	if c.seen != accepted.Version {
+		c.seen = accepted.Version
+		return
 	}
-	s.log.Info("join", "epoch", reply.Epoch)
-	return true
-}
-
-func hasMember(members []*control.Member, identity string) bool {
-	for _, m := range members {
-		if m.Identity == identity {
-			return true
-		}
+	_, err := s.proposer.Run(ctx, s.config.Current().Value(), func(*control.Value) (*control.Value, error) { return nil, nil })
+	if err != nil {
+		s.log.Warn("read", "error", err.Error())
 	}
-	return false
 }
 
 // copier copies the claim records of the former set before this replica has a
 // vote on claims, and drops old records.
-type copier struct{ server *Server }
+type copier struct {
+	server *Server
+	// epoch is what is being copied, since when on this node's clock.
+	epoch uint64
+	since time.Time
+}
 
 // Run implements Controller.
 func (c *copier) Run(ctx context.Context) {
@@ -184,8 +183,13 @@
 	if !ok {
 		return
 	}
+	if c.epoch != at.Epoch {
+		c.epoch, c.since = at.Epoch, s.clock.Now()
+	}
 	records, ok := c.collect(ctx, former, at.Epoch)
-	if !ok {
+	// When too much of the former set is lost, its records cannot be known,
+	// but once their time is over nobody needs them.
+	if !ok && s.clock.Now().Sub(c.since) < deduplicator.KeepFor {
 		return
 	}
 	if err := s.store.Complete(at.Epoch, records); err != nil {
--- a/pkg/server/operator_service.go
+++ b/pkg/server/operator_service.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "the joining replica does not answer: "+err.Error())
 	}
-	if err := s.checkRecords(ctx); err != nil {
+	if err := s.waitForRecords(ctx); err != nil {
 		return &control.ProposeReply{Refused: err.Error()}, nil
 	}
 	id, base := r.Id, r.Base
@@ -104,7 +104,16 @@
 		ID: id, Base: base, Leaving: r.Leaving, Operator: name(ctx), Time: s.clock.Now().UnixNano(),
 		Joining: &control.Member{Identity: joining.Identity, Address: r.Joining},
 	}
-	return s.propose(ctx, replacement.Update(), id)
+	reply, err := s.propose(ctx, replacement.Update(), id)
+	if err != nil || reply.Refused != "" {
+		return reply, err
+	}
+	// The repair counts as made only when the new member has its vote on
+	// claims as well: until then no further disk may be lost.
+	if err := s.waitForMember(ctx, replacement.Joining); err != nil {
+		return nil, err
+	}
+	return reply, nil
 }
 
 // Withdraw implements control.Operator.
@@ -289,25 +298,51 @@
 	return s.directory.HolderVersion(ctx, d.Centre, d.Team) >= d.Until
 }
 
-// checkRecords refuses a replacement while a majority of the set has not
+// waitForRecords refuses a replacement while a majority of the set has not
 // copied the claim records that the last one handed over.
-func (s *Server) checkRecords(ctx context.Context) error {
-	value := s.config.Current().Value()
-	complete := 0
-	for _, m := range value.Replicas {
-		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-		reply, err := s.caller.Replica(m.Address).Identify(ctx, &control.IdentifyRequest{})
-		cancel()
-		if err == nil && reply.Identity == m.Identity && reply.Records == value.Epoch {
-			complete++
+func (s *Server) waitForRecords(ctx context.Context) error {
+	return s.poll(ctx, planner.ErrBusy, func(ctx context.Context) bool {
+		value := s.config.Current().Value()
+		complete := 0
+		for _, m := range value.Replicas {
+			if s.hasRecords(ctx, m, value.Epoch) {
+				complete++
+			}
+		}
+		return complete > len(value.Replicas)/2
+	})
+}
+
+// waitForMember waits until a new member has copied the claim records.
+func (s *Server) waitForMember(ctx context.Context, m *control.Member) error {
+	late := twirp.NewError(twirp.Unavailable, "the change is accepted, but the new replica has not copied the claim records yet; send it again until it is answered, and lose no other disk before")
+	return s.poll(ctx, late, func(ctx context.Context) bool {
+		return s.hasRecords(ctx, m, s.config.Current().Value().Epoch)
+	})
+}
+
+// poll tries until the condition holds, or returns late.
+func (s *Server) poll(ctx context.Context, late error, holds func(context.Context) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	for !holds(ctx) {
+		select {
+		case <-ctx.Done():
+			return late
+		case <-s.clock.After(copyPeriod):
 		}
-	}
-	if complete <= len(value.Replicas)/2 {
-		return planner.ErrBusy
 	}
 	return nil
 }
 
+// hasRecords tells whether a member has all claim records of an epoch.
+func (s *Server) hasRecords(ctx context.Context, m *control.Member, epoch uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	reply, err := s.caller.Replica(m.Address).Identify(ctx, &control.IdentifyRequest{})
+	return err == nil && reply.Identity == m.Identity && reply.Records == epoch
+}
+
 // randomName returns a name for one life of a process.
 func randomName() string {
 	var raw [8]byte
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -22,7 +22,7 @@
 
 // patience bounds a wait for something that must come; it is no verdict on
 // how fast it came.
-const patience = 60 * time.Second
+const patience = 20 * time.Second
 
 var programs string
 
@@ -70,11 +70,33 @@
 
 func (f *fleet) path(name string) string { return filepath.Join(f.folder, name) }
 
+// firstPort begins a range below the one from which the system takes ports
+// for outgoing connections, so that nobody takes a port between two starts.
+const (
+	firstPort = 20000
+	portRange = 10000
+)
+
+var nextPort = os.Getpid() * 61 % portRange
+
 func freeAddress(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	for range portRange {
+		nextPort = (nextPort + 1) % portRange
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		u.Close()
+		return address
+	}
+	c.Fatal("no free port")
+	return ""
 }
 
 // add describes a node; options are flags of its target.
@@ -248,7 +270,7 @@
 	end := time.Now().Add(patience)
 	for !ready() {
 		if time.Now().After(end) {
-			f.Fatalf("waited in vain until %s", what)
+			f.Fatalf("waited in vain until %s\n%s", what, f.dump())
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- /dev/null
+++ b/test/mutator/main.go
@@ -0,0 +1,137 @@
+// Command mutator shows that the proofs can fail: it takes one mechanism at a
+// time out of the code, in a copy, and runs the test that is to notice. It is
+// run by hand: go run ./test/mutator [NAME...]
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/primrosewall/primrosewall/pkg/decoder"
+)
+
+// mutant is one mechanism to take out.
+type mutant struct {
+	Name string `json:"name"`
+	// File holds Old, once; New stands in its place.
+	File string `json:"file"`
+	Old  string `json:"old"`
+	New  string `json:"new"`
+	// Package and Test are what must fail.
+	Package string `json:"package"`
+	Test    string `json:"test"`
+}
+
+// mutants is the content of the list.
+type mutants struct {
+	Mutants []mutant `json:"mutants"`
+}
+
+const list = "test/mutants.json"
+
+func main() {
+	missed, err := run(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mutator:", err)
+		os.Exit(2)
+	}
+	if missed > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(names []string) (int, error) {
+	source, err := os.ReadFile(list)
+	if err != nil {
+		return 0, err
+	}
+	all := &mutants{}
+	if _, err := decoder.Decode(list, source, all); err != nil {
+		return 0, err
+	}
+	missed := 0
+	sound := map[string]bool{}
+	for _, m := range all.Mutants {
+		if len(names) > 0 && !slices.Contains(names, m.Name) {
+			continue
+		}
+		if key := m.Package + m.Test; !sound[key] {
+			if out, err := m.test(os.Getenv("GOFLAGS")); err != nil {
+				return missed, fmt.Errorf("%s fails without any change: %s", m.Test, out)
+			}
+			sound[key] = true
+		}
+		noticed, err := m.try()
+		if err != nil {
+			return missed, fmt.Errorf("%s: %w", m.Name, err)
+		}
+		word := "noticed"
+		if !noticed {
+			word = "MISSED"
+			missed++
+		}
+		fmt.Printf("%s mutant=%s package=%s test=%s\n", word, m.Name, m.Package, m.Test)
+	}
+	return missed, nil
+}
+
+// try builds with the mechanism taken out and tells whether the test fails.
+func (m *mutant) try() (bool, error) {
+	source, err := os.ReadFile(m.File)
+	if err != nil {
+		return false, err
+	}
+	if strings.Count(string(source), m.Old) != 1 {
+		return false, fmt.Errorf("%s does not hold the text once: %s", m.File, m.Old)
+	}
+	folder, err := os.MkdirTemp("", "mutant")
+	if err != nil {
+		return false, err
+	}
+	defer os.RemoveAll(folder)
+	overlay, err := m.overlay(folder, strings.Replace(string(source), m.Old, m.New, 1))
+	if err != nil {
+		return false, err
+	}
+	flags := os.Getenv("GOFLAGS") + " -overlay=" + overlay
+	build := exec.Command("go", "build", "./...")
+	build.Env = append(os.Environ(), "GOFLAGS="+flags)
+	if out, err := build.CombinedOutput(); err != nil {
+		return false, fmt.Errorf("does not build: %s", out)
+	}
+	out, err := m.test(flags)
+	if strings.Contains(out, "no tests to run") {
+		return false, fmt.Errorf("no test %s in %s", m.Test, m.Package)
+	}
+	return err != nil, nil
+}
+
+// test runs the test with build flags.
+func (m *mutant) test(flags string) (string, error) {
+	c := exec.Command("go", "test", "-count=1", "-run", "^"+m.Test+"$", m.Package)
+	c.Env = append(os.Environ(), "GOFLAGS="+flags)
+	out, err := c.CombinedOutput()
+	return string(out), err
+}
+
+func (m *mutant) overlay(folder, source string) (string, error) {
+	changed := filepath.Join(folder, filepath.Base(m.File))
+	if err := os.WriteFile(changed, []byte(source), 0o600); err != nil {
+		return "", err
+	}
+	here, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	text, err := json.Marshal(map[string]map[string]string{"Replace": {filepath.Join(here, m.File): changed}})
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(folder, "overlay.json")
+	return file, os.WriteFile(file, text, 0o600)
+}
