At most once: faults at each step, with the target's record as judge

Cause: the claim path had no proof. A build with the tag "faults" lets a process be killed or frozen at a named step; other builds have no such code.

The bucket now grows from one expiry to the next, and batch ids carry the life. What a holder says about its version is now what its witnesses know.

Ruled out: the transport's hidden resend (30 POST and 30 DELETE without body, with idempotency keys, a target that drops every third connection: each seen at most once).

Conclusion: at most once holds at the steps that are named; the limits follow.

--- a/pkg/deduplicator/store.go
+++ b/pkg/deduplicator/store.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -103,10 +104,12 @@
 	}
 	s.records[string(r.Key)] = r
 	s.mu.Unlock()
+	faulter.Reach(faulter.ClaimSyncing)
 	if err := s.write(&control.Journal{Record: r}); err != nil {
 		// The claim stays in memory: whether it reached the disk is unknown.
 		return nil, err
 	}
+	faulter.Reach(faulter.ClaimSynced)
 	return &control.ClaimReply{Granted: true}, nil
 }
 
@@ -126,7 +129,9 @@
 	}
 	s.dead++
 	s.mu.Unlock()
-	return s.write(&control.Journal{Record: r, Released: release})
+	err := s.write(&control.Journal{Record: r, Released: release})
+	faulter.Reach(faulter.SettleSynced)
+	return err
 }
 
 // All returns every record, for a member that joins the set.
--- /dev/null
+++ b/pkg/faulter/off.go
@@ -0,0 +1,6 @@
+//go:build !faults
+
+package faulter
+
+// Reach marks a point.
+func Reach(Point) {}
--- a/pkg/forwarder/claim_filter.go
+++ b/pkg/forwarder/claim_filter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -28,10 +29,12 @@
 		return
 	}
 	name := deduplicator.Name(x.hop.Team, x.hop.Service, x.idempotencyKey)
+	faulter.Reach(faulter.EntryClaiming)
 	claim, err := deps.Claimer.Take(x.Context(), name, x.hop.Digest)
 	var taken *deduplicator.TakenError
 	switch {
 	case err == nil:
+		faulter.Reach(faulter.EntryClaimed)
 		x.conclude = func(r result) { conclude(x, claim, r) }
 		next(x)
 	case errors.As(err, &taken):
@@ -48,7 +51,9 @@
 	case *notRun:
 		claim.Release(x.Context())
 	case *answered:
+		faulter.Reach(faulter.EntryAnswered)
 		claim.Finish(x.Context(), stored(r.answer))
+		faulter.Reach(faulter.EntrySettled)
 	case *broken:
 	}
 }
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 )
 
 // deliverFilter hands an admitted request to the own target and passes its
@@ -36,6 +37,7 @@
 	}
 	timer := time.AfterFunc(left, func() { cancel(errDeadline) })
 	watch := &sent{}
+	faulter.Reach(faulter.HopDelivering)
 	response, err := f.deps.TargetLink.RoundTrip(d.request(watch.watch(ctx), x, flight))
 	timer.Stop()
 	if err != nil {
@@ -43,6 +45,7 @@
 		d.fail(x, watch, context.Cause(ctx), flight)
 		return
 	}
+	faulter.Reach(faulter.HopAnswered)
 	shed = effectOf(response.StatusCode) != 0 && response.StatusCode != http.StatusInternalServerError
 	d.pass(x, flight, response, cancel)
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
 	"github.com/primrosewall/primrosewall/pkg/retrier"
 	"github.com/primrosewall/primrosewall/pkg/router"
@@ -130,6 +131,7 @@
 		refuse(http.StatusBadRequest, ReasonRequest, 0, "the message between nodes is damaged").write(w)
 		return
 	}
+	faulter.Reach(faulter.HopReceived)
 	removeOwn(r.Header)
 	now := f.deps.Clock.Now()
 	x := &Exchange{
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -28,12 +28,12 @@
 // bucket is the holder's side of one team in one data centre. At all times
 // level plus the tokens that may still be spent is at most the burst.
 type bucket struct {
-	part    Part
-	level   float64
+	part  Part
+	level float64
+	// at is up to when the level is filled; in the future for a bucket that
+	// has not opened yet.
 	at      time.Time
 	batches map[uint64]*batch
-	// opens is when the bucket begins to fill.
-	opens time.Time
 	// demand in tokens per second asked for by the own data centre.
 	demand  float64
 	asked   float64
@@ -43,42 +43,56 @@
 // newBucket makes a bucket that is empty at opens and fills from then on. The
 // time until it is first asked counts too: nothing was handed out in it.
 func newBucket(opens time.Time, part Part) *bucket {
-	return &bucket{at: opens, opens: opens, part: part, batches: map[uint64]*batch{}, askedAt: opens}
+	return &bucket{at: opens, part: part, batches: map[uint64]*batch{}, askedAt: opens}
 }
 
 // outstanding counts the tokens that may still be spent.
-func (b *bucket) outstanding(now time.Time) float64 {
+func (b *bucket) outstanding() float64 {
 	sum := 0.0
-	for id, batch := range b.batches {
-		if !now.Before(batch.expiry) {
-			delete(b.batches, id)
-			continue
-		}
+	for _, batch := range b.batches {
 		sum += float64(batch.count - batch.spent)
 	}
 	return sum
 }
 
-// refill brings the level up to now, within the cap.
+// refill brings the level up to now. It goes from one expiry to the next,
+// since until then the tokens of a batch leave less room to fill.
 func (b *bucket) refill(now time.Time, part Part) {
-	if now.Before(b.opens) {
-		b.level, b.at, b.part = 0, now, part
-		return
+	// The lower of before and after counts for the time between.
+	b.part = Part{Rate: math.Min(b.part.Rate, part.Rate), Burst: math.Min(b.part.Burst, part.Burst)}
+	for {
+		id, next := b.nextExpiry()
+		if next == nil || now.Before(next.expiry) {
+			break
+		}
+		b.grow(next.expiry)
+		delete(b.batches, id)
 	}
-	from := b.at
-	if from.Before(b.opens) {
-		from = b.opens
+	b.grow(now)
+	b.part = part
+}
+
+func (b *bucket) nextExpiry() (uint64, *batch) {
+	var first uint64
+	for id, batch := range b.batches {
+		if first == 0 || batch.expiry.Before(b.batches[first].expiry) {
+			first = id
+		}
 	}
-	// The lower rate of before and after counts for the time between.
-	rate := math.Min(b.part.Rate, part.Rate)
-	if now.After(from) {
-		b.level += rate * now.Sub(from).Seconds()
+	return first, b.batches[first]
+}
+
+// grow fills the bucket until a time at which no batch has expired yet.
+func (b *bucket) grow(to time.Time) {
+	if to.After(b.at) {
+		b.level += b.part.Rate * to.Sub(b.at).Seconds()
+		b.at = to
 	}
-	b.at, b.part = now, part
-	b.level = math.Max(0, math.Min(b.level, part.Burst-b.outstanding(now)))
+	b.level = math.Max(0, math.Min(b.level, b.part.Burst-b.outstanding()))
 }
 
-// report takes what became of batches.
+// report takes what became of batches; the bucket must be refilled up to now,
+// since the tokens filled their room until now.
 func (b *bucket) report(spent []*control.Spent) {
 	for _, s := range spent {
 		batch, ok := b.batches[s.Batch]
@@ -101,7 +115,10 @@
 	} else {
 		b.ask(now, count)
 	}
-	given := uint32(math.Max(0, math.Min(float64(count), math.Floor(free))))
+	// Batches fill at most half of the burst, or what is spent before it is
+	// reported would keep the bucket from filling at its rate.
+	room := math.Max(1, math.Floor(b.part.Burst/2-b.outstanding()))
+	given := uint32(math.Max(0, math.Min(math.Min(float64(count), room), math.Floor(free))))
 	if given == 0 {
 		return 0
 	}
@@ -123,8 +140,8 @@
 
 // wait is the time until a token is likely, for the caller's Retry-After.
 func (b *bucket) wait(now time.Time) time.Duration {
-	if now.Before(b.opens) {
-		return b.opens.Sub(now)
+	if now.Before(b.at) {
+		return b.at.Sub(now)
 	}
 	if b.part.Rate <= 0 {
 		return term
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/primrosewall/primrosewall/pkg/declarer"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -27,6 +26,9 @@
 // that a team has the same lease whatever version a node has in force.
 const shardCount = 5
 
+// batchBits is the part of a batch's id that counts within one life.
+const batchBits = 32
+
 // Shard is the part of the teams that one lease covers.
 func Shard(team string) int {
 	return int(xxhash.Sum64String(team) % shardCount)
@@ -47,6 +49,9 @@
 	mu      sync.Mutex
 	leases  map[int]time.Time
 	retries map[int]time.Time
+	// versions is what the witnesses know as this holder's version: whoever
+	// holds the lease later has at least that one.
+	versions map[int]uint64
 	// opens is when the buckets of a shard begin to fill: tokens that a former
 	// holder handed out have expired by then.
 	opens   map[int]time.Time
@@ -61,7 +66,9 @@
 func NewHolder(clock timekeeper.Clock, config *enforcer.Enforcer, voters Voters, instance, centre string, session uint64) *Holder {
 	return &Holder{
 		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session,
-		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
+		// Batches of a former life must not be taken for those of this one.
+		nextID: session << batchBits,
+		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
 	}
 }
 
@@ -71,7 +78,7 @@
 func (h *Holder) loop(ctx context.Context) {
 	for {
 		h.Renew(ctx)
-		h.learnReached(ctx)
+		h.LearnReached(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -110,7 +117,7 @@
 		}
 	}
 	if h.countVotes(ctx, witnesses, request) > len(witnesses)/2 {
-		h.hold(shard, sent)
+		h.hold(shard, sent, version)
 		return
 	}
 	h.mu.Lock()
@@ -156,7 +163,7 @@
 
 // hold notes the lease, counted from when the first vote was asked for. After
 // a gap, or at first, all buckets of the shard start empty.
-func (h *Holder) hold(shard int, sent time.Time) {
+func (h *Holder) hold(shard int, sent time.Time, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -165,6 +172,7 @@
 		h.opens[shard] = now.Add(term + drift)
 	}
 	h.leases[shard] = sent.Add(leaseTerm - leaseDrift)
+	h.versions[shard] = version
 }
 
 func (h *Holder) dropShard(shard int) {
@@ -195,13 +203,13 @@
 		b = newBucket(h.opens[Shard(r.Team)], h.part(c, r.Team))
 		h.buckets[r.Team] = b
 	}
-	b.report(r.Spent)
 	b.refill(now, h.part(c, r.Team))
+	b.report(r.Spent)
 	h.nextID++
 	given := b.give(now, h.nextID, r.Count, r.Loan)
 	reply := &control.TokensReply{
 		Count: given, Term: uint32(term.Milliseconds()), Batch: h.nextID,
-		Holder: h.instance, Version: c.Version(),
+		Holder: h.instance, Version: h.versions[Shard(r.Team)],
 	}
 	if given == 0 {
 		reply.Wait = uint32(b.wait(now).Milliseconds())
@@ -220,9 +228,9 @@
 	return Effective(c.Declaration(), team, h.centre, former)
 }
 
-// learnReached asks other data centres for their versions, as long as a
+// LearnReached asks other data centres for their versions, as long as a
 // former division stands in the way.
-func (h *Holder) learnReached(ctx context.Context) {
+func (h *Holder) LearnReached(ctx context.Context) {
 	for _, f := range h.pending() {
 		version := h.voters.HolderVersion(ctx, f.Centre, f.Team)
 		h.mu.Lock()
@@ -245,11 +253,3 @@
 	}
 	return list
 }
-
-// Settled tells which former divisions are over, so that a later change can
-// leave them out.
-func (h *Holder) Settled(d *declarer.Declaration, f *control.Division) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.reached[f.Centre+"/"+f.Team] >= f.Until
-}
--- /dev/null
+++ b/pkg/limiter/model_test.go
@@ -0,0 +1,335 @@
+package limiter_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/limiter"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The verdict must be the same in every run.
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1500", "rapid.nofailfile": "true", "rapid.shrinktime": "2s"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	team  = "acme"
+	rate  = 20.0
+	burst = 10.0
+	// slow is by how much a spender's clock may lag within a term.
+	slow = 40 * time.Millisecond
+)
+
+// instance is one node with its half of the limits.
+type instance struct {
+	name, centre string
+	witness      *limiter.Witness
+	holder       *limiter.Holder
+	config       *enforcer.Enforcer
+	session      uint64
+	// stocks are the batches that its spender has.
+	stocks []*stock
+	// frozen instances do not renew.
+	frozen bool
+	// island is the part of the network that it can reach.
+	island int
+}
+
+type stock struct {
+	id     uint64
+	from   string
+	count  uint32
+	spent  uint32
+	expiry time.Time
+}
+
+// fleet is two data centres of three instances under a manual clock.
+type fleet struct {
+	clock     *timekeeper.Manual
+	instances []*instance
+	values    []*control.Value
+	spends    []time.Time
+	random    *rand.Rand
+}
+
+func (f *fleet) next(choices int) int { return f.random.IntN(choices) }
+
+// declaration divides the same limit over the data centres by weight.
+func declaration(east, west float64) *declarer.Declaration {
+	return &declarer.Declaration{
+		Centres: map[string]declarer.Centre{
+			"east": {Witnesses: []string{"e0", "e1", "e2"}, Share: east},
+			"west": {Witnesses: []string{"w0", "w1", "w2"}, Share: west},
+		},
+		Teams: map[string]declarer.Team{team: {Rate: rate, Burst: burst}},
+	}
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{clock: &timekeeper.Manual{}, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))}
+	f.change(1, 1)
+	for _, name := range []string{"e0", "e1", "e2", "w0", "w1", "w2"} {
+		i := &instance{name: name, centre: map[byte]string{'e': "east", 'w': "west"}[name[0]]}
+		f.instances = append(f.instances, i)
+		f.restart(i)
+	}
+	f.advance(5 * time.Second)
+	return f
+}
+
+// change accepts a new version with other shares.
+func (f *fleet) change(east, west float64) {
+	next := declaration(east, west)
+	text, err := next.Canonical()
+	if err != nil {
+		panic(err)
+	}
+	v := &control.Value{Version: uint64(len(f.values) + 1), Declaration: text}
+	if len(f.values) > 0 {
+		last := f.values[len(f.values)-1]
+		old, err := declarer.Parse("old", last.Declaration)
+		if err != nil {
+			panic(err)
+		}
+		v.Divisions = limiter.Former(old, next, last.Divisions, v.Version)
+	}
+	f.values = append(f.values, v)
+}
+
+// restart loses an instance's memory; it learns the highest version in reach.
+func (f *fleet) restart(i *instance) {
+	i.session++
+	i.stocks = nil
+	version := 1
+	for _, o := range f.instances {
+		if o != i && o.config != nil && o.island == i.island {
+			version = max(version, int(o.config.Current().Version()))
+		}
+	}
+	i.config, _ = enforcer.Open(nil)
+	f.learn(i, version)
+	i.witness = limiter.NewWitness(f.clock, func() uint64 { return i.config.Current().Version() })
+	i.holder = limiter.NewHolder(f.clock, i.config, &voters{f, i}, i.name, i.centre, i.session)
+}
+
+func (f *fleet) learn(i *instance, version int) {
+	if _, err := i.config.Offer(f.values[version-1]); err != nil {
+		panic(err)
+	}
+}
+
+func (f *fleet) find(name string) *instance {
+	at := slices.IndexFunc(f.instances, func(i *instance) bool { return i.name == name })
+	return f.instances[at]
+}
+
+// voters is the network as one instance sees it.
+type voters struct {
+	fleet *fleet
+	own   *instance
+}
+
+var errCut = errors.New("cut")
+
+func (v *voters) Lease(_ context.Context, name string, r *control.LeaseRequest) (*control.LeaseReply, error) {
+	to := v.fleet.find(name)
+	if to.island != v.own.island {
+		return nil, errCut
+	}
+	return to.witness.Vote(r), nil
+}
+
+func (v *voters) HolderVersion(_ context.Context, centre, team string) uint64 {
+	for _, i := range v.fleet.instances {
+		if i.centre == centre && i.island == v.own.island {
+			if reply := i.holder.Tokens(&control.TokensRequest{Team: team, Loan: true}); !reply.Absent {
+				return reply.Version
+			}
+		}
+	}
+	return 0
+}
+
+// An event is one thing that may happen to an instance.
+type event func(f *fleet, i *instance)
+
+func pass(f *fleet, _ *instance)   { f.advance(time.Duration(f.next(256)) * time.Millisecond) }
+func wait(f *fleet, _ *instance)   { f.advance(time.Duration(f.next(20)) * 100 * time.Millisecond) }
+func renew(_ *fleet, i *instance)  { i.holder.Renew(context.Background()) }
+func freeze(f *fleet, i *instance) { i.frozen = f.next(4) == 0 }
+func cut(f *fleet, i *instance)    { i.island = f.next(5) / 4 }
+func reach(_ *fleet, i *instance)  { i.holder.LearnReached(context.Background()) }
+func divide(f *fleet, _ *instance) {
+	shares := []float64{0.01, 1, 99}
+	f.change(shares[f.next(3)], shares[f.next(3)])
+}
+func learn(f *fleet, i *instance) { f.learn(i, 1+f.next(len(f.values))) }
+
+// focuses are the events of a run.
+var focuses = [][]event{
+	{pass, wait, renew, freeze, (*fleet).ask, (*fleet).ask, (*fleet).ask, (*fleet).spend, (*fleet).spendLate, (*fleet).restart, cut, divide, learn, reach},
+	{pass, wait, wait, renew, freeze, (*fleet).ask, (*fleet).ask, (*fleet).ask, (*fleet).spendLate, (*fleet).spendLate, (*fleet).restart, cut},
+	{pass, wait, wait, freeze, (*fleet).ask, (*fleet).ask, (*fleet).ask, (*fleet).spend, (*fleet).spendLate, divide, learn, learn, learn, reach, reach, (*fleet).restart},
+}
+
+// advance passes time, in which every instance that is not frozen renews.
+func (f *fleet) advance(d time.Duration) {
+	const pace = 300 * time.Millisecond
+	for ; d > 0; d -= pace {
+		f.clock.Advance(min(d, pace))
+		for _, i := range f.instances {
+			if !i.frozen {
+				i.holder.Renew(context.Background())
+			}
+		}
+	}
+}
+
+// ask gets tokens from the first holder in reach. The request may report
+// batches, the answer may be lost, and the request may come twice.
+func (f *fleet) ask(i *instance) {
+	r := &control.TokensRequest{Team: team, Count: uint32(1 + f.next(12))}
+	start := f.next(len(f.instances))
+	for n := range f.instances {
+		to := f.instances[(start+n)%len(f.instances)]
+		r.Loan = to.centre != i.centre
+		if to.island == i.island && f.askHolder(i, to, r) {
+			return
+		}
+	}
+}
+
+func (f *fleet) askHolder(i, to *instance, r *control.TokensRequest) bool {
+	r.Spent = nil
+	if f.next(2) == 0 {
+		r.Spent = i.report(to.name, f.next(3) == 0)
+	}
+	sent := f.clock.Now()
+	f.clock.Advance(time.Duration(f.next(20)) * time.Millisecond)
+	reply := to.holder.Tokens(r)
+	if f.next(8) == 0 {
+		to.holder.Tokens(r)
+	}
+	if reply.Count == 0 {
+		return false
+	}
+	if f.next(8) != 0 {
+		i.stocks = append(i.stocks, &stock{
+			id: reply.Batch, from: to.name, count: reply.Count,
+			expiry: sent.Add(time.Duration(reply.Term) * time.Millisecond),
+		})
+	}
+	return true
+}
+
+// owner returns the next instance that has tokens, or the one given.
+func (f *fleet) owner(i *instance) *instance {
+	at := slices.Index(f.instances, i)
+	for n := range f.instances {
+		next := f.instances[(at+n)%len(f.instances)]
+		for _, s := range next.stocks {
+			if s.spent < s.count && f.clock.Now().Before(s.expiry) {
+				return next
+			}
+		}
+	}
+	return i
+}
+
+// spendLate waits until the last moment at which a batch can be spent.
+func (f *fleet) spendLate(i *instance) {
+	i = f.owner(i)
+	for _, s := range i.stocks {
+		if left := s.expiry.Add(slow - time.Millisecond).Sub(f.clock.Now()); s.spent < s.count && left > 0 {
+			f.advance(left)
+			break
+		}
+	}
+	f.spend(i)
+}
+
+// report tells a holder what became of its batches; closed ones are dropped
+// first.
+func (i *instance) report(holder string, closing bool) []*control.Spent {
+	var list []*control.Spent
+	var kept []*stock
+	for _, s := range i.stocks {
+		if s.from != holder {
+			kept = append(kept, s)
+			continue
+		}
+		list = append(list, &control.Spent{Batch: s.id, Count: s.spent, Closed: closing})
+		if !closing {
+			kept = append(kept, s)
+		}
+	}
+	i.stocks = kept
+	return list
+}
+
+// spend spends all tokens that have not expired by a clock that lags.
+func (f *fleet) spend(i *instance) {
+	i = f.owner(i)
+	now := f.clock.Now()
+	for _, s := range i.stocks {
+		for s.spent < s.count && now.Add(-slow).Before(s.expiry) {
+			s.spent++
+			f.spends = append(f.spends, now)
+		}
+	}
+}
+
+// check looks at every window.
+func (f *fleet) check() error {
+	for from := range f.spends {
+		for to := from; to < len(f.spends); to++ {
+			span := f.spends[to].Sub(f.spends[from]).Seconds()
+			count := float64(to - from + 1)
+			if count > rate*span+burst+1e-9 {
+				return fmt.Errorf("%v requests within %.3f s, allowed are %.2f", count, span, rate*span+burst)
+			}
+		}
+	}
+	return nil
+}
+
+// TestNeverOver draws leases, batches, late and lost and doubled messages,
+// restarts, cuts, and changes of the division that reach instances in any
+// order, and checks every window of admitted requests against rate and burst.
+func TestNeverOver(t *testing.T) {
+	served := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		events := focuses[f.next(len(focuses))]
+		for range rapid.IntRange(100, 200).Draw(t, "steps") {
+			i := f.instances[f.next(len(f.instances))]
+			events[f.next(len(events))](f, i)
+		}
+		served += len(f.spends)
+		if err := f.check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	// The check means something only if requests were served.
+	qt.Assert(t, served > 10000, qt.IsTrue, qt.Commentf("%d", served))
+}
--- a/pkg/limiter/spender.go
+++ b/pkg/limiter/spender.go
@@ -198,10 +198,11 @@
 
 // restock asks ahead when a hot team's tokens run low.
 func (s *Spender) restock(ctx context.Context, team string, p *purse, now time.Time) {
-	if _, ok := s.spread.(OneHolder); ok || now.Before(p.barred) {
+	if now.Before(p.barred) {
 		return
 	}
-	if p.left()*2 < s.ahead(p) {
+	// An empty purse also reports at once, so that the bucket fills again.
+	if left := p.left(); left == 0 || left*2 < s.ahead(p) {
 		s.startAsk(ctx, team, p)
 	}
 }
@@ -231,12 +232,14 @@
 	spender *Spender
 	team    string
 	purse   *purse
+	// wanted is how many tokens the last request asked for.
+	wanted uint32
 }
 
 func (a *ask) run(ctx context.Context) {
 	s := a.spender
 	reply, err := a.from(ctx, "")
-	if err == nil && reply.Count > 0 {
+	if err == nil && (reply.Count > 0 || a.wanted == 0) {
 		s.finish(a)
 		return
 	}
@@ -259,9 +262,9 @@
 	s := a.spender
 	s.mu.Lock()
 	sent := s.clock.Now()
+	a.wanted = uint32(len(a.purse.waiting)) + s.ahead(a.purse)
 	request := &control.TokensRequest{
-		Instance: s.instance, Centre: s.centre, Team: a.team, Version: s.version(), Loan: centre != "",
-		Count: uint32(len(a.purse.waiting)) + s.ahead(a.purse),
+		Instance: s.instance, Centre: s.centre, Team: a.team, Count: a.wanted, Version: s.version(), Loan: centre != "",
 		Spent: a.purse.takeReports(centre, sent),
 	}
 	s.mu.Unlock()
--- a/pkg/limiter/witness.go
+++ b/pkg/limiter/witness.go
@@ -30,15 +30,17 @@
 // memory, so after a start it abstains for one lease.
 type Witness struct {
 	clock timekeeper.Clock
-	opens time.Time
+	// version is what this instance has in force.
+	version func() uint64
+	opens   time.Time
 
 	mu    sync.Mutex
 	votes map[string]*vote
 }
 
 // NewWitness makes a witness that abstains at first.
-func NewWitness(clock timekeeper.Clock) *Witness {
-	return &Witness{clock: clock, opens: clock.Now().Add(leaseTerm + leaseDrift), votes: map[string]*vote{}}
+func NewWitness(clock timekeeper.Clock, version func() uint64) *Witness {
+	return &Witness{clock: clock, version: version, opens: clock.Now().Add(leaseTerm + leaseDrift), votes: map[string]*vote{}}
 }
 
 // Vote grants a lease unless another holder has it, or the asker has an older
@@ -47,7 +49,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
-	if now.Before(w.opens) {
+	if own := w.version(); now.Before(w.opens) || own == 0 || r.Version < own {
 		return &control.LeaseReply{}
 	}
 	v, ok := w.votes[r.Name]
--- a/pkg/replicator/acceptor.go
+++ b/pkg/replicator/acceptor.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/pkg/storer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -77,6 +78,7 @@
 	if err := a.save(next); err != nil {
 		return nil, err
 	}
+	faulter.Reach(faulter.PromiseSynced)
 	reply.Promised = true
 	reply.Highest = r.Ballot
 	return reply, nil
@@ -95,9 +97,11 @@
 	}
 	next := a.copyState()
 	next.Promised, next.Accepted, next.Value = r.Ballot, r.Ballot, r.Value
+	faulter.Reach(faulter.AcceptSyncing)
 	if err := a.save(next); err != nil {
 		return nil, err
 	}
+	faulter.Reach(faulter.AcceptSynced)
 	reply.Accepted = true
 	return reply, nil
 }
@@ -125,6 +129,7 @@
 	if err := a.save(next); err != nil {
 		return nil, err
 	}
+	faulter.Reach(faulter.Installed)
 	return &control.InstallReply{Installed: true, Epoch: r.Epoch}, nil
 }
 
--- a/pkg/replicator/proposer.go
+++ b/pkg/replicator/proposer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -264,6 +265,7 @@
 }
 
 func (p *Proposer) chosen(v *control.Value) {
+	faulter.Reach(faulter.Chosen)
 	if p.onChosen != nil {
 		p.onChosen(v)
 	}
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/pkg/planner"
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -192,6 +193,7 @@
 	if !ok && s.clock.Now().Sub(c.since) < deduplicator.KeepFor {
 		return
 	}
+	faulter.Reach(faulter.RecordsCopied)
 	if err := s.store.Complete(at.Epoch, records); err != nil {
 		s.fail("copy", err)
 		return
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -161,7 +161,7 @@
 	s.carrier.receive = s.gossip.Receive
 	s.directory = &directory{gossip: s.gossip, config: s.config, caller: s.caller, centre: s.settings.Centre, holders: map[string]string{}}
 	s.proposer = replicator.NewProposer(s.caller, s.clock, s.settings.Instance+"/"+life, newRandom(), s.offer)
-	s.witness = limiter.NewWitness(s.clock)
+	s.witness = limiter.NewWitness(s.clock, s.source.Version)
 	s.holder = limiter.NewHolder(s.clock, s.config, s.directory, s.settings.Instance, s.settings.Centre, rand.Uint64())
 	s.spender = limiter.NewSpender(s.clock, s.directory, limiter.ByHeat{}, s.settings.Instance, s.settings.Centre, s.source.Version)
 	s.config.Subscribe(func(c *enforcer.Config) {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -37,7 +37,7 @@
 	}
 	defer os.RemoveAll(folder)
 	programs = folder
-	build := exec.Command("go", "build", "-o", folder+"/", "../cmd/...")
+	build := exec.Command("go", "build", "-tags", "faults", "-o", folder+"/", "../cmd/...")
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
 	}
@@ -59,6 +59,7 @@
 	listen, peer, admin, target string
 	replica                     bool
 	options                     []string
+	fault                       string
 	daemon, stand               *exec.Cmd
 }
 
@@ -142,7 +143,8 @@
 	text, err := json.Marshal(settings)
 	f.Assert(err, qt.IsNil)
 	f.Assert(os.WriteFile(f.path(n.name+".json"), text, 0o600), qt.IsNil)
-	n.daemon = f.spawn(n.name, "primrosed", "-settings", f.path(n.name+".json"))
+	n.daemon = f.spawn(n.name, n.fault, "primrosed", "-settings", f.path(n.name+".json"))
+	n.fault = ""
 }
 
 func (n *node) startTarget() {
@@ -151,15 +153,17 @@
 	}
 	f := n.fleet
 	args := append([]string{"target", "-listen", n.target, "-admin", n.admin, "-entry", n.listen, "-record", f.path(n.name + ".seen")}, n.options...)
-	n.stand = f.spawn(n.name+".target", "primrose", args...)
+	n.stand = f.spawn(n.name+".target", "", "primrose", args...)
 }
 
-// spawn starts a program whose log goes to a file; the test's end kills it.
-func (f *fleet) spawn(name, program string, args ...string) *exec.Cmd {
+// spawn starts a program that fails at a point, if one is named. Its log goes
+// to a file; the end of the test kills it.
+func (f *fleet) spawn(name, fault, program string, args ...string) *exec.Cmd {
 	log, err := os.OpenFile(f.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	f.Assert(err, qt.IsNil)
 	c := exec.Command(filepath.Join(programs, program), args...)
 	c.Stderr, c.Stdout = log, log
+	c.Env = append(os.Environ(), "PRIMROSE_FAULT="+fault, "PRIMROSE_ARMED="+f.path("armed"))
 	f.Assert(c.Start(), qt.IsNil)
 	f.Cleanup(func() {
 		_ = c.Process.Kill()
@@ -292,9 +296,12 @@
 		r.Header.Set(name, value)
 	}
 	r.Close = true
-	return do(http.DefaultClient, r)
+	return do(&http.Client{Timeout: patience}, r)
 }
 
+// arm lets the fault happen from now on.
+func (f *fleet) arm() { f.Assert(os.WriteFile(f.path("armed"), nil, 0o600), qt.IsNil) }
+
 func do(client *http.Client, r *http.Request) reply {
 	response, err := client.Do(r)
 	if err != nil {
--- /dev/null
+++ b/test/once_test.go
@@ -0,0 +1,207 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/faulter"
+)
+
+const bookings = `{
+  "centres": {"east": {"witnesses": ["a", "b", "c"]}},
+  "teams": {"acme": {"keys": [], "rate": 100000, "burst": 100000}},
+  "routes": [{"name": "book", "path": "/book", "service": "book", "important": true, "timeout": 3000}]
+}`
+
+// bookingFleet is three replicas; the one target is beside b.
+func bookingFleet(t *testing.T, options ...string) (*fleet, string) {
+	f := newFleet(t)
+	f.add("a", "east", true)
+	f.add("b", "east", true, append([]string{"-service", "book"}, options...)...)
+	f.add("c", "east", true)
+	f.start()
+	a := f.nodes["a"]
+	a.declare(bookings)
+	key, _ := a.giveKey("acme")
+	for _, n := range f.nodes {
+		f.first(n, "/book/warm", key)
+	}
+	return f, key
+}
+
+// runs counts how often the target has seen an idempotency key.
+func (n *node) runs(id string) int {
+	count := 0
+	for _, s := range n.seen() {
+		if s.Header.Get("Idempotency-Key") == id {
+			count++
+		}
+	}
+	return count
+}
+
+// book sends a booking with an idempotency key.
+func (n *node) book(key, id string) reply {
+	header := bearer(key)
+	header["Idempotency-Key"] = id
+	client := &http.Client{Timeout: 10 * time.Second}
+	r, err := http.NewRequest("POST", "http://"+n.listen+"/book/truck", strings.NewReader("truck 7"))
+	n.fleet.Assert(err, qt.IsNil)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	r.Close = true
+	return do(client, r)
+}
+
+// TestOnceUnderFaults lets the entry node, the target's node or a replica be
+// killed or frozen at each step of a booking, while its caller sends it again
+// on other nodes until it gets an answer. The target's own record judges.
+func TestOnceUnderFaults(t *testing.T) {
+	where := map[string][]faulter.Point{
+		"a": {faulter.EntryClaiming, faulter.EntryClaimed, faulter.EntryAnswered, faulter.EntrySettled},
+		"b": {faulter.HopReceived, faulter.HopDelivering, faulter.HopAnswered},
+		"c": {faulter.ClaimSyncing, faulter.ClaimSynced, faulter.SettleSynced},
+	}
+	for name, points := range where {
+		for _, point := range points {
+			for _, fault := range []string{"kill", "freeze"} {
+				t.Run(fmt.Sprint(point, "-", fault), func(t *testing.T) {
+					t.Parallel()
+					onceUnderFault(t, name, point, fault)
+				})
+			}
+		}
+	}
+}
+
+func onceUnderFault(t *testing.T, name string, point faulter.Point, fault string) {
+	f, key := bookingFleet(t)
+	a, b := f.nodes["a"], f.nodes["b"]
+	faulty := f.nodes[name]
+	f.kill(faulty.daemon)
+	faulty.fault = fmt.Sprint(point, "=", fault)
+	faulty.startDaemon()
+	f.until("the node serves again", func() bool {
+		return faulty.ask("GET", "/book/warm", nil, bearer(key)).status == 200 && a.ask("GET", "/book/warm", nil, bearer(key)).status == 200
+	})
+	f.arm()
+	id := "booking-1"
+	answers := []reply{a.book(key, id)}
+	if fault == "freeze" {
+		f.signal(faulty.daemon, syscall.SIGCONT)
+	} else if faulty.stopped() {
+		faulty.startDaemon()
+	}
+	order := []*node{f.nodes["c"], b, a}
+	end := time.Now().Add(patience)
+	for i := 0; time.Now().Before(end); i++ {
+		got := order[i%3].book(key, id)
+		answers = append(answers, got)
+		if got.status == 200 || strings.Contains(got.body, `"outcome":"unknown"`) {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	judge(t, b, id, answers)
+}
+
+// stopped tells whether the daemon was killed, after a moment for it to die.
+func (n *node) stopped() bool {
+	for range 50 {
+		if n.metric("version") < 0 {
+			_, _ = n.daemon.Process.Wait()
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+// judge compares what callers were told with what the target has seen.
+func judge(t *testing.T, target *node, id string, answers []reply) {
+	runs := target.runs(id)
+	comment := qt.Commentf("runs %d, answers %+v", runs, answers)
+	qt.Assert(t, runs <= 1, qt.IsTrue, comment)
+	served, unknown := 0, 0
+	for _, got := range answers {
+		switch {
+		case got.status == 200:
+			served++
+		case got.err != nil || !strings.Contains(got.body, `"outcome":"notrun"`):
+			unknown++
+		}
+	}
+	if served > 0 {
+		qt.Assert(t, runs, qt.Equals, 1, comment)
+	}
+	if unknown == 0 && served == 0 {
+		qt.Assert(t, runs, qt.Equals, 0, comment)
+	}
+	qt.Assert(t, served+unknown > 0, qt.IsTrue, comment)
+}
+
+// TestOnceOverManySenders sends each booking on all nodes at once.
+func TestOnceOverManySenders(t *testing.T) {
+	f, key := bookingFleet(t)
+	b := f.nodes["b"]
+	for i := range 20 {
+		id := fmt.Sprint("race-", i)
+		done := make(chan reply, 9)
+		for n := range cap(done) {
+			s := &sender{node: f.nodes[f.order[n%3]], key: key, id: id, done: done}
+			go s.run()
+		}
+		var answers []reply
+		for range cap(done) {
+			answers = append(answers, <-done)
+		}
+		answers = append(answers, f.nodes["c"].book(key, id))
+		judge(t, b, id, answers)
+	}
+}
+
+type sender struct {
+	node    *node
+	key, id string
+	done    chan reply
+}
+
+func (s *sender) run() { s.done <- s.node.book(s.key, s.id) }
+
+// TestTransportDoesNotSendAgain has a target that drops every third
+// connection without an answer. The transport would send such requests again
+// by itself; the target must see each of them once, unless it is idempotent
+// and was retried within the route's count.
+func TestTransportDoesNotSendAgain(t *testing.T) {
+	f, key := bookingFleet(t, "-drop", "3")
+	a, b := f.nodes["a"], f.nodes["b"]
+	for i := range 30 {
+		id := fmt.Sprint("drop-", i)
+		header := bearer(key)
+		header["Idempotency-Key"] = id
+		answers := []reply{a.ask("POST", "/book/empty", nil, header)}
+		judge(t, b, id, answers)
+		header["X-Idempotency-Key"] = id
+		answers = append(answers, a.ask("DELETE", "/book/empty", nil, header))
+		judge(t, b, id, answers)
+	}
+	for i := range 30 {
+		a.ask("GET", fmt.Sprintf("/book/lookup%d", i), nil, bearer(key))
+	}
+	seen := map[string]int{}
+	for _, s := range b.seen() {
+		if strings.HasPrefix(s.URL, "/book/lookup") {
+			seen[s.URL]++
+		}
+	}
+	for url, count := range seen {
+		f.Assert(count <= 1+3, qt.IsTrue, qt.Commentf("%s %d", url, count))
+	}
+}
