Queue bounds follow the service time; levels skip classes that never come

Cause: with a deep service 10 times slower its queue was bounded by 100 ms and 5 ms, less than one request takes, so its slots ran empty between raises of the level; and on the way down the level crossed 256 priorities that no request ever has, which took 1.6 s.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxWait bounds the time in the queue.
-	maxWait = 100 * time.Millisecond
+	// leastWait bounds the time in the queue, unless requests take longer.
+	leastWait = 100 * time.Millisecond
 	// queueFactor times the limit bounds the queue.
 	queueFactor = 2
 	// minQueue is the least bound of the queue.
@@ -85,7 +85,7 @@
 func (a *Admitter) Admit(ctx context.Context, team string, p Priority) (*Ticket, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
-	a.level.step(now)
+	a.level.step(now, a.serviceTime())
 	a.level.arrive(p)
 	a.dropOld(now)
 	if a.inflight < a.allowed(now) && a.queue.size == 0 {
@@ -125,7 +125,7 @@
 	select {
 	case err := <-w.give:
 		return a.given(w, err)
-	case <-a.clock.After(maxWait):
+	case <-a.clock.After(a.maxWait()):
 	case <-ctx.Done():
 	}
 	a.mu.Lock()
@@ -173,12 +173,29 @@
 }
 
 func (a *Admitter) dropOld(now time.Time) {
-	for _, w := range a.queue.expire(now.Add(-maxWait)) {
+	for _, w := range a.queue.expire(now.Add(-a.longestWait())) {
 		a.level.refused = true
 		w.give <- a.refusal()
 	}
 }
 
+// longestWait bounds the time in the queue: a slow target keeps its slots busy
+// only if requests may wait about as long as one runs.
+func (a *Admitter) longestWait() time.Duration {
+	return max(leastWait, a.serviceTime())
+}
+
+func (a *Admitter) maxWait() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.longestWait()
+}
+
+// serviceTime is the average time in the target.
+func (a *Admitter) serviceTime() time.Duration {
+	return time.Duration(a.service * float64(time.Second))
+}
+
 // allowed is the limit, ramped up while the target is cold.
 func (a *Admitter) allowed(now time.Time) int {
 	age := now.Sub(a.since)
@@ -193,7 +210,7 @@
 
 func (a *Admitter) refusal() error {
 	drain := a.service * float64(a.queue.size+1) / float64(max(a.limit, 1))
-	return &LoadError{Wait: max(maxWait, time.Duration(drain*float64(time.Second)))}
+	return &LoadError{Wait: max(leastWait, time.Duration(drain*float64(time.Second)))}
 }
 
 func (a *Admitter) cost(team string) float64 {
@@ -215,7 +232,7 @@
 	a.service += costWeight * (spent.Seconds() - a.service)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(spent.Seconds()-a.cost(t.team))
 	a.limit = learn(a.rule, sample{own: max(spent-calls, 0), shed: shed, inflight: t.inflight}, a.slots)
-	a.level.step(now)
+	a.level.step(now, a.serviceTime())
 	a.fill()
 }
 
@@ -224,7 +241,7 @@
 func (a *Admitter) Level() Priority {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.level.step(a.clock.Now())
+	a.level.step(a.clock.Now(), a.serviceTime())
 	return a.level.value
 }
 
--- a/pkg/admitter/level.go
+++ b/pkg/admitter/level.go
@@ -9,8 +9,10 @@
 	raiseShare = 0.10
 	// lowerShare is the share that one step down admits more.
 	lowerShare = 0.03
-	// queueTarget is the shortest wait within a window that counts as overload.
+	// queueTarget is the shortest wait within a window that counts as overload,
+	// or a part of the service time where that is more.
 	queueTarget = 5 * time.Millisecond
+	queuePart   = 4
 )
 
 // level is the priority below which requests are to be refused at the door.
@@ -22,6 +24,8 @@
 	// counts of arrivals by priority, halved in each window.
 	counts [MaxPriority]float32
 	total  float32
+	// known tells which classes have ever arrived; the others are skipped.
+	known [classCount]bool
 	// least wait seen in this window, and whether anything was seen.
 	least time.Duration
 	seen  bool
@@ -30,6 +34,7 @@
 }
 
 func (l *level) arrive(p Priority) {
+	l.known[p.class()] = true
 	l.counts[p]++
 	l.total++
 }
@@ -42,7 +47,7 @@
 }
 
 // step moves the level when a window is over.
-func (l *level) step(now time.Time) {
+func (l *level) step(now time.Time, service time.Duration) {
 	if l.started.IsZero() {
 		l.started = now
 	}
@@ -50,7 +55,7 @@
 		return
 	}
 	switch {
-	case l.seen && l.least > queueTarget, l.refused:
+	case l.seen && l.least > max(queueTarget, service/queuePart), l.refused:
 		l.raise()
 	default:
 		l.lower()
@@ -78,6 +83,9 @@
 	unseen := max(l.total, 1) / float32(1<<hashBits)
 	for l.value > 0 && want > 0 {
 		l.value--
+		if !l.known[l.value.class()] {
+			continue
+		}
 		want -= max(l.counts[l.value], unseen)
 	}
 }
