Fair shares at the door; a passed-on refusal is not the target's own

A target that passes on the 503 of a service below was taken for one that sheds by itself.

Changed: the time and refusals of calls are kept apart from the target's own; the door divides what may pass by max-min fairness over teams; the level moves once per half a service time.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -111,7 +111,7 @@
 	if a.queue.size <= a.queueBound() {
 		return nil
 	}
-	a.level.refused = true
+	a.level.refused++
 	worst := a.queue.worst()
 	a.queue.remove(worst)
 	if worst == w {
@@ -131,7 +131,9 @@
 	a.mu.Lock()
 	removed := a.queue.remove(w)
 	if removed {
-		a.level.refused = a.level.refused || ctx.Err() == nil
+		if ctx.Err() == nil {
+			a.level.refused++
+		}
 		refusal := a.refusal()
 		a.mu.Unlock()
 		if err := ctx.Err(); err != nil {
@@ -174,7 +176,7 @@
 
 func (a *Admitter) dropOld(now time.Time) {
 	for _, w := range a.queue.expire(now.Add(-a.longestWait())) {
-		a.level.refused = true
+		a.level.refused++
 		w.give <- a.refusal()
 	}
 }
--- a/pkg/admitter/level.go
+++ b/pkg/admitter/level.go
@@ -3,10 +3,14 @@
 import "time"
 
 const (
-	// window is how often the level moves.
-	window = 50 * time.Millisecond
-	// raiseShare is the share of arrivals that one step up refuses more.
-	raiseShare = 0.10
+	// window is how often the level moves, or a part of the service time where
+	// that is more: what a step changes shows only after that.
+	window     = 50 * time.Millisecond
+	windowPart = 2
+	// raiseLeast and raiseMost bound the share of arrivals that one step up
+	// refuses more; between them it is the share that was refused here.
+	raiseLeast = 0.05
+	raiseMost  = 0.05
 	// lowerShare is the share that one step down admits more.
 	lowerShare = 0.03
 	// queueTarget is the shortest wait within a window that counts as overload,
@@ -29,13 +33,15 @@
 	// least wait seen in this window, and whether anything was seen.
 	least time.Duration
 	seen  bool
-	// refused tells that the window saw a refusal for lack of room.
-	refused bool
+	// arrived and refused count the window's arrivals and its refusals for
+	// lack of room.
+	arrived, refused float32
 }
 
 func (l *level) arrive(p Priority) {
 	l.known[p.class()] = true
 	l.counts[p]++
+	l.arrived++
 	l.total++
 }
 
@@ -51,16 +57,16 @@
 	if l.started.IsZero() {
 		l.started = now
 	}
-	if now.Sub(l.started) < window {
+	if now.Sub(l.started) < max(window, service/windowPart) {
 		return
 	}
 	switch {
-	case l.seen && l.least > max(queueTarget, service/queuePart), l.refused:
+	case l.seen && l.least > max(queueTarget, service/queuePart), l.refused > 0:
 		l.raise()
 	default:
 		l.lower()
 	}
-	l.started, l.seen, l.refused = now, false, false
+	l.started, l.seen, l.arrived, l.refused = now, false, 0, 0
 	l.total = 0
 	for i := range l.counts {
 		l.counts[i] /= 2
@@ -69,7 +75,8 @@
 }
 
 func (l *level) raise() {
-	want := l.total * raiseShare
+	share := l.refused / max(l.arrived, 1)
+	want := l.total * min(max(share, raiseLeast), raiseMost)
 	for l.value < MaxPriority-1 && want > 0 {
 		want -= l.counts[l.value]
 		l.value++
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -78,7 +78,7 @@
 		Data:        filepath.Join(os.TempDir(), "primrosed-data"),
 		Replicas:    []string{defaultPeer},
 		Connections: defaultConnections, Rule: RuleAIMD,
-		secret:      []byte(embeddedSecret),
+		secret: []byte(embeddedSecret),
 	}
 }
 
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/faulter"
+	"github.com/primrosewall/primrosewall/pkg/router"
 )
 
 // deliverFilter hands an admitted request to the own target and passes its
@@ -46,7 +47,7 @@
 		return
 	}
 	faulter.Reach(faulter.HopAnswered)
-	shed = effectOf(response.StatusCode) != 0 && response.StatusCode != http.StatusInternalServerError
+	shed = effectOf(response.StatusCode) == router.Shed && !flight.hadRefusal()
 	d.pass(x, flight, response, cancel)
 }
 
--- a/pkg/forwarder/door_filter.go
+++ b/pkg/forwarder/door_filter.go
@@ -10,7 +10,7 @@
 
 // doorFilter refuses at the door what a service further down would refuse
 // later, before any work is spent on it. What the services would refuse comes
-// back with their answers.
+// back with their answers. What may pass is divided fairly over the teams.
 type doorFilter struct{ forwarder *Forwarder }
 
 // doorWait is when a caller refused at the door may come back.
@@ -18,14 +18,21 @@
 
 // Serve implements Filter.
 func (d *doorFilter) Serve(x *Exchange, next func(*Exchange)) {
-	if x.parent == nil {
-		hash := int(admitter.NewPriority(false, false, x.hop.Root))
-		level := d.forwarder.levels.get(levelKeyOf(x), d.forwarder.deps.Clock.Now())
-		if hash < int(level) {
-			d.forwarder.count("refused_door")
-			x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, doorWait, "service %s, or one that it calls, is overloaded", x.route.Service))
-			return
-		}
+	if x.parent != nil {
+		next(x)
+		return
+	}
+	f := d.forwarder
+	now := f.deps.Clock.Now()
+	key := levelKeyOf(x)
+	pass := 1 - f.levels.get(key, now)/hashes
+	pass = f.shares.arrive(key, x.hop.Team, pass, now)
+	// Hashes are kept from the top, as at the services further down.
+	hash := float64(admitter.NewPriority(false, false, x.hop.Root))
+	if hash < hashes*(1-pass) {
+		f.count("refused_door")
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, doorWait, "service %s, or one that it calls, is overloaded", x.route.Service))
+		return
 	}
 	next(x)
 }
--- a/pkg/forwarder/flights.go
+++ b/pkg/forwarder/flights.go
@@ -25,6 +25,8 @@
 	since   time.Time
 	// level is the highest that a call met further down.
 	level int
+	// refused tells that a call was refused or lost.
+	refused bool
 }
 
 // beginCall notes that the target waits for a call.
@@ -46,6 +48,20 @@
 	}
 }
 
+// noteRefused notes that a call got no answer from its target. What the own
+// target then answers is not of its own making.
+func (f *Flight) noteRefused() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused = true
+}
+
+func (f *Flight) hadRefusal() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
 func (f *Flight) callTime() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -75,6 +75,7 @@
 	deps    Deps
 	edges   retrier.Edges
 	levels  levels
+	shares  shares
 	flights flights
 	entry   func(*Exchange)
 	hop     func(*Exchange)
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -76,6 +76,9 @@
 	if x.conclude != nil {
 		x.conclude(final)
 	}
+	if x.parent != nil && unserved(final) {
+		x.parent.noteRefused()
+	}
 	switch r := final.(type) {
 	case *answered:
 		r.answer.write(x)
@@ -88,6 +91,12 @@
 	}
 }
 
+// unserved tells that a target did not do what it was asked.
+func unserved(r result) bool {
+	a, ok := r.(*answered)
+	return !ok || effectOf(a.answer.status) != router.Good
+}
+
 // mayRetry tells whether another attempt is safe, useful and within both
 // bounds.
 func (s *sendFilter) mayRetry(x *Exchange, a *attempt) bool {
--- a/pkg/trialer/load.go
+++ b/pkg/trialer/load.go
@@ -30,7 +30,8 @@
 	outcomeCount
 )
 
-// Count is what happened to the requests of a team, by the time of arrival.
+// Count is what happened to the requests of a team: what was asked and
+// refused by the time of arrival, what was served by the time of the answer.
 type Count struct {
 	Asked    float64               `json:"asked"`
 	Outcomes [outcomeCount]float64 `json:"outcomes"`
@@ -67,14 +68,11 @@
 func (r *record) add(at time.Duration, c cell, o Outcome, took time.Duration, sends int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	cells := r.slices[min(int(at/slice), len(r.slices)-1)]
-	count, ok := cells[c]
-	if !ok {
-		count = &Count{}
-		cells[c] = count
+	r.count(at, c).Asked++
+	if o == Served {
+		at += took
 	}
-	count.Asked++
-	count.Outcomes[o]++
+	r.count(at, c).Outcomes[o]++
 	r.sends += sends
 	if o == Served {
 		r.answers = append(r.answers, took.Microseconds())
@@ -83,6 +81,17 @@
 	}
 }
 
+// count is the count of a cell at a time.
+func (r *record) count(at time.Duration, c cell) *Count {
+	cells := r.slices[min(int(at/slice), len(r.slices)-1)]
+	count, ok := cells[c]
+	if !ok {
+		count = &Count{}
+		cells[c] = count
+	}
+	return count
+}
+
 func (r *record) reason(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
