The door always lets a few requests through to hear of room further down

Cause: when all ordinary requests were refused at the door, no answer told it the level any more, so the level faded and ordinary requests came back in place of important ones: 60 of 252 served in the surge were ordinary while important ones were refused.

Ruled out by a try: sending the levels of both classes with every answer; the level belongs to a route, and a route is important or not, so the other class is another route. Taken back before it ran.

--- a/pkg/forwarder/door_filter.go
+++ b/pkg/forwarder/door_filter.go
@@ -25,7 +25,7 @@
 	f := d.forwarder
 	now := f.deps.Clock.Now()
 	key := levelKeyOf(x)
-	pass := 1 - f.levels.get(key, now)/hashes
+	pass := 1 - min(f.levels.get(key, now), hashes-probes)/hashes
 	pass = f.shares.arrive(key, x.hop.Team, pass, now)
 	// Hashes are kept from the top, as at the services further down.
 	hash := float64(admitter.NewPriority(false, false, x.hop.Root))
@@ -50,6 +50,9 @@
 }
 
 const (
+	// probes is how many hashes out of 256 always pass, so that the door hears
+	// when the services further down have room again.
+	probes = 2
 	// levelWeight is that of the newest report.
 	levelWeight = 0.3
 	// levelHold is how long a level stands without a report.
