A team that gets hot fast asks for as many tokens again; files split

Cause: added time at p99 was 6.3 ms at 1,000 calls a second in a run of 8 s and 1.4 ms in one of 25 s: a start effect. The heat of a team is measured over 0.25 s; until then requests waited for one request to the holder after the other, 3 % of all in the short run.

Ruled out: connections and TLS (the doors are warm before the load), the machine (without nodes p99 was 0.64 to 0.79 ms in the same runs).

Changed: when several requests wait for tokens, the node asks for as many again.

The target of 0.9 ms is still missed; a cold team asks its holder for each request, which is most of the rest at 10 calls a second.

--- a/pkg/forwarder/answer.go
+++ b/pkg/forwarder/answer.go
@@ -8,8 +8,6 @@
 	"time"
 )
 
-var errEOF = io.EOF
-
 const (
 	// wholeBody is the longest answer that is read whole before it is passed
 	// on, so that a broken one can still be replaced.
--- a/pkg/forwarder/links.go
+++ b/pkg/forwarder/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -131,7 +132,7 @@
 type emptyBody struct{}
 
 // Read implements io.Reader.
-func (emptyBody) Read([]byte) (int, error) { return 0, errEOF }
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
 // Close implements io.Closer.
 func (emptyBody) Close() error { return nil }
--- a/pkg/limiter/spender.go
+++ b/pkg/limiter/spender.go
@@ -218,6 +218,17 @@
 	return uint32(math.Min(p.heat*stockTime.Seconds(), maxBatch))
 }
 
+// wanted is how many tokens to ask for. When several requests wait the team is
+// getting hot faster than its heat is measured, so it asks for as many again.
+func (s *Spender) wanted(p *purse) uint32 {
+	waiting := uint32(len(p.waiting))
+	ahead := s.ahead(p)
+	if _, ok := s.spread.(ByHeat); ok && waiting > 1 {
+		ahead = max(ahead, waiting)
+	}
+	return waiting + ahead
+}
+
 func (s *Spender) startAsk(ctx context.Context, team string, p *purse) {
 	if p.asking {
 		return
@@ -262,7 +273,7 @@
 	s := a.spender
 	s.mu.Lock()
 	sent := s.clock.Now()
-	a.wanted = uint32(len(a.purse.waiting)) + s.ahead(a.purse)
+	a.wanted = s.wanted(a.purse)
 	request := &control.TokensRequest{
 		Instance: s.instance, Centre: s.centre, Team: a.team, Count: a.wanted, Version: s.version(), Loan: centre != "",
 		Spent: a.purse.takeReports(centre, sent),
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -2,15 +2,9 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"errors"
 	"expvar"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -287,52 +281,6 @@
 	return s.clock.Now().Sub(last) < bound
 }
 
-// listener is one HTTP server with its address.
-type listener struct {
-	server *http.Server
-	socket net.Listener
-	secure bool
-}
-
-func (l *listener) run() {
-	var err error
-	if l.secure {
-		err = l.server.ServeTLS(l.socket, "", "")
-	} else {
-		err = l.server.Serve(l.socket)
-	}
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		slog.Error("listen", "address", l.socket.Addr().String(), "error", err.Error())
-	}
-}
-
-// quietLog keeps the library's own lines out of the log: they are no events
-// and may quote what callers sent.
-type quietLog struct{ count func(string, int64) }
-
-// Write implements io.Writer.
-func (q quietLog) Write(p []byte) (int, error) {
-	q.count("connection_errors", 1)
-	return len(p), nil
-}
-
-func (s *Server) listen(address string, handler http.Handler, secure bool) (*listener, error) {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepIdle, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(slog.NewTextHandler(quietLog{s.metrics.Add}, nil), slog.LevelError),
-	}
-	if secure {
-		server.TLSConfig = s.sealer.Server()
-		server.MaxHeaderBytes += hopHeader
-		server.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){}
-	}
-	return &listener{server: server, socket: socket, secure: secure}, nil
-}
-
 // Run serves until the context ends, then stops without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
 	udp, err := listenUDP(s.settings.Peer, s.sealer, s.metrics.Add)
@@ -411,75 +359,3 @@
 		}
 	}
 }
-
-// peerHandler serves other nodes: control messages and requests for the own
-// target.
-func (s *Server) peerHandler() http.Handler {
-	peer := control.NewPeerServer(&peerService{s})
-	mux := http.NewServeMux()
-	mux.Handle(peer.PathPrefix(), bounded(peer))
-	if s.folder != nil {
-		replica := control.NewReplicaServer(&replicaService{acceptor: s.acceptor, store: s.store})
-		mux.Handle(replica.PathPrefix(), bounded(replica))
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if forwarder.IsHop(r) {
-			s.forwarder.ServeHop(w, r)
-			return
-		}
-		mux.ServeHTTP(w, r)
-	})
-}
-
-// maxMessage bounds a control message, in bytes.
-const maxMessage = 64 << 20
-
-func bounded(h http.Handler) http.Handler { return http.MaxBytesHandler(h, maxMessage) }
-
-// adminHandler serves operators, metrics, and the own target.
-func (s *Server) adminHandler() http.Handler {
-	operator := control.NewOperatorServer(&operatorService{s})
-	mux := http.NewServeMux()
-	mux.Handle(operator.PathPrefix(), s.identifyOperator(bounded(operator)))
-	mux.Handle("/announce", localOnly(s.announcer))
-	mux.HandleFunc("GET /debug/vars", s.serveMetrics)
-	mux.HandleFunc("GET /{$}", func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintln(w, "primrosed "+s.settings.Instance+"\n/debug/vars metrics\n/announce for the own target")
-	})
-	return mux
-}
-
-// localOnly admits only the machine that the node runs on.
-func localOnly(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		host, _, err := net.SplitHostPort(r.RemoteAddr)
-		local, _, _ := net.SplitHostPort(fmt.Sprint(r.Context().Value(http.LocalAddrContextKey)))
-		if err != nil || (!net.ParseIP(host).IsLoopback() && host != local) {
-			http.Error(w, "only the own target may announce itself", http.StatusForbidden)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// serveMetrics writes the metrics of the node with those of the process.
-func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	load := s.admitter.Load()
-	gauges := map[string]int64{
-		"version": int64(s.config.Current().Version()), "members": int64(len(s.gossip.Members())),
-		"inflight": int64(load.Inflight), "queued": int64(load.Queued), "limit": int64(load.Limit),
-		"slots": int64(load.Slots), "level": int64(load.Level),
-	}
-	for name, value := range gauges {
-		v := new(expvar.Int)
-		v.Set(value)
-		s.metrics.Set(name, v)
-	}
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	var parts []string
-	parts = append(parts, `"primrosed": `+s.metrics.String())
-	expvar.Do(func(kv expvar.KeyValue) {
-		parts = append(parts, fmt.Sprintf("%q: %s", kv.Key, kv.Value))
-	})
-	fmt.Fprintf(w, "{\n%s\n}\n", strings.Join(parts, ",\n"))
-}
--- a/pkg/trialer/plan.go
+++ b/pkg/trialer/plan.go
@@ -111,14 +111,23 @@
 	for i := len(p.Layers) - 1; i >= 0; i-- {
 		l := p.Layers[i]
 		below += l.Time / 1000
+		if below == 0 {
+			continue
+		}
 		capacity := float64(l.Targets*l.Slots) / below
 		if best == 0 || capacity < best {
 			best = capacity
 		}
 	}
+	if best == 0 {
+		return unlimited
+	}
 	return best
 }
 
+// unlimited stands for the capacity of targets that take no time.
+const unlimited = 1e9
+
 // rate is the load of a team at a time, in requests per second.
 func (p *Plan) rate(t Team, at time.Duration) float64 {
 	total := 0.0
--- /dev/null
+++ b/pkg/trialer/trialer_test.go
@@ -0,0 +1,57 @@
+package trialer
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPlansOfTheDocs reads every plan that is shipped.
+func TestPlansOfTheDocs(t *testing.T) {
+	files, err := filepath.Glob("../../docs/trials/*.json")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		source, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		p, err := Parse(file, source)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, p.Capacity() > 0, qt.IsTrue)
+	}
+}
+
+// TestReportCanBeSaved saves the report of a run in which nothing recovered
+// and targets take no time: JSON knows no infinity.
+func TestReportCanBeSaved(t *testing.T) {
+	p := &Plan{
+		Name: "x", Seconds: 2, Rate: 10, Teams: []Team{{Name: "a", Weight: 1, Rate: 10, Burst: 10}},
+		Layers: []Layer{{Service: "s", Targets: 1, Slots: 1}}, Events: []Event{{At: 0, Until: 1, Kind: kindSurge, Factor: 2}},
+	}
+	r := newRecord(2e9)
+	for i := range 20 {
+		r.add(5*slice, cell{"a", i%2 == 0}, Failed, 1000, 1)
+	}
+	out := report(p, WayNodes, r)
+	qt.Assert(t, Save(t.TempDir(), []*Report{out}), qt.IsNil)
+}
+
+// TestSharesAddUp divides among teams of different sizes.
+func TestSharesAddUp(t *testing.T) {
+	p := &Plan{Seconds: 1, Teams: []Team{
+		{Name: "large", Rate: 1000, Burst: 1000}, {Name: "small", Rate: 1000, Burst: 1000}, {Name: "capped", Rate: 10, Burst: 0},
+	}}
+	r := newRecord(1e9)
+	for i := range 300 {
+		r.add(0, cell{"large", false}, Served, 0, 1)
+		if i < 20 {
+			r.add(0, cell{"small", false}, Served, 0, 1)
+		}
+		r.add(0, cell{"capped", false}, Rated, 0, 1)
+	}
+	got := shares(p, r, 0, 10, 100)
+	qt.Assert(t, got["small"], qt.Equals, 20.0)
+	qt.Assert(t, got["capped"] > 9.9 && got["capped"] < 10.1, qt.IsTrue)
+	qt.Assert(t, got["large"] > 69 && got["large"] < 71, qt.IsTrue)
+}
