A holder that has just begun says so, instead of "over its rate"

Cause: a newcomer who followed the README got 429 "over its rate" on the first request: the bucket of a new lease stays empty for 1.05 s. Nobody was over a rate; the answer is 503 with reason contact and the time to wait.

Ruled out: opening the bucket at once (mutant bucket-opens-at-once is noticed by TestNeverOver: a former holder's tokens may still be spent).

--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -30,8 +30,7 @@
 type bucket struct {
 	part  Part
 	level float64
-	// at is up to when the level is filled; in the future for a bucket that
-	// has not opened yet.
+	// at is up to when the level is filled.
 	at      time.Time
 	batches map[uint64]*batch
 	// demand in tokens per second asked for by the own data centre.
@@ -139,10 +138,7 @@
 }
 
 // wait is the time until a token is likely, for the caller's Retry-After.
-func (b *bucket) wait(now time.Time) time.Duration {
-	if now.Before(b.at) {
-		return b.at.Sub(now)
-	}
+func (b *bucket) wait() time.Duration {
 	if b.part.Rate <= 0 {
 		return term
 	}
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -198,6 +198,10 @@
 	if !now.Before(h.leases[Shard(r.Team)]) {
 		return &control.TokensReply{Absent: true}
 	}
+	if opens := h.opens[Shard(r.Team)]; now.Before(opens) {
+		// Nobody is over a rate yet: the lease has just begun.
+		return &control.TokensReply{Absent: true, Wait: uint32(opens.Sub(now).Milliseconds()) + 1}
+	}
 	b, ok := h.buckets[r.Team]
 	if !ok {
 		b = newBucket(h.opens[Shard(r.Team)], h.part(c, r.Team))
@@ -212,7 +216,7 @@
 		Holder: h.instance, Version: h.versions[Shard(r.Team)],
 	}
 	if given == 0 {
-		reply.Wait = uint32(b.wait(now).Milliseconds())
+		reply.Wait = uint32(b.wait().Milliseconds())
 	}
 	return reply
 }
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -82,6 +83,29 @@
 	qt.Assert(t, w.Vote(&control.LeaseRequest{Name: "east/0", Instance: "b", Version: 5}).Granted, qt.IsTrue)
 }
 
+// TestNewHolderSaysSo asks a holder whose lease has just begun: the team is
+// not over its rate, its bucket is only not open yet.
+func TestNewHolderSaysSo(t *testing.T) {
+	f := &fleet{clock: &timekeeper.Manual{}, random: rand.New(rand.NewPCG(1, 1))}
+	f.change(1, 1)
+	for _, name := range []string{"e0", "e1", "e2", "w0", "w1", "w2"} {
+		i := &instance{name: name, centre: "east"}
+		f.instances = append(f.instances, i)
+		f.restart(i)
+	}
+	f.clock.Advance(5 * time.Second)
+	waits := 0
+	for _, i := range f.instances[:3] {
+		i.holder.Renew(context.Background())
+		reply := i.holder.Tokens(&control.TokensRequest{Team: team, Count: 1})
+		qt.Assert(t, reply.Absent, qt.IsTrue)
+		if reply.Wait > 0 {
+			waits++
+		}
+	}
+	qt.Assert(t, waits, qt.Equals, 1)
+}
+
 // TestReportsCountOnce spends nearly a whole burst and reports the last batch
 // again and again, as a network that doubles messages does.
 func TestReportsCountOnce(t *testing.T) {
--- a/pkg/limiter/spender.go
+++ b/pkg/limiter/spender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"sync"
@@ -60,7 +61,7 @@
 // Error implements error.
 func (e *RateError) Error() string {
 	if e.Unreachable {
-		return fmt.Sprintf("nobody who holds the limit of team %s can be reached, come back in %v", e.Team, e.Wait)
+		return fmt.Sprintf("nobody holds the limit of team %s yet, or can be reached; come back in %v", e.Team, e.Wait)
 	}
 	return fmt.Sprintf("team %s is over its rate, come back in %v", e.Team, e.Wait)
 }
@@ -255,8 +256,12 @@
 		return
 	}
 	wait, unreachable := term, err != nil
-	if err == nil {
+	var absent *RateError
+	switch {
+	case err == nil:
 		wait = time.Duration(reply.Wait) * time.Millisecond
+	case errors.As(err, &absent):
+		wait = absent.Wait
 	}
 	for _, centre := range s.holders.Others(a.team) {
 		loan, err := a.from(ctx, centre)
@@ -286,7 +291,11 @@
 		return nil, err
 	}
 	if reply.Absent {
-		return nil, &RateError{Team: a.team, Unreachable: true}
+		wait := term
+		if reply.Wait > 0 {
+			wait = time.Duration(reply.Wait) * time.Millisecond
+		}
+		return nil, &RateError{Team: a.team, Wait: wait, Unreachable: true}
 	}
 	if reply.Count > 0 {
 		s.mu.Lock()
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -89,6 +89,7 @@
 	witnesses := d.config.Current().Declaration().Centres[centre].Witnesses
 	shard := limiter.Shard(r.Team)
 	name := limiter.LeaseName(centre, shard)
+	absent := &control.TokensReply{Absent: true}
 	for _, instance := range d.order(name, shard, witnesses) {
 		e := d.gossip.Member(instance)
 		if e == nil || e.State == control.State_STATE_DEAD {
@@ -99,8 +100,11 @@
 			d.remember(name, instance)
 			return reply, nil
 		}
+		if err == nil && reply.Wait > 0 {
+			absent = reply
+		}
 	}
-	return &control.TokensReply{Absent: true}, nil
+	return absent, nil
 }
 
 func (d *directory) remember(name, instance string) {
