--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
@@ -45,8 +46,9 @@
 	// streamed and can be sent once.
 	content  []byte
 	streamed bool
-	// touched tells that the streamed body has been read from.
-	touched bool
+	// touched tells that the streamed body has been read from, by the
+	// transport in its own time.
+	touched atomic.Bool
 	// conclude is called with how the request ended, before the answer goes
 	// out; it may be nil.
 	conclude func(result)
@@ -122,7 +124,7 @@
 
 // Read implements io.Reader.
 func (b *touchBody) Read(p []byte) (int, error) {
-	b.once.Do(func() { b.exchange.touched = true })
+	b.once.Do(func() { b.exchange.touched.Store(true) })
 	return b.reader.Read(p)
 }
 
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -100,7 +100,7 @@
 // mayRetry tells whether another attempt is safe, useful and within both
 // bounds.
 func (s *sendFilter) mayRetry(x *Exchange, a *attempt) bool {
-	if x.touched || x.left(s.now()) <= 0 || x.Context().Err() != nil || a.target == nil {
+	if x.touched.Load() || x.left(s.now()) <= 0 || x.Context().Err() != nil || a.target == nil {
 		return false
 	}
 	switch r := a.result.(type) {
