--- a/pkg/replicator/proposer.go
+++ b/pkg/replicator/proposer.go
@@ -183,6 +183,7 @@
 			continue
 		}
 		if r.reply.Epoch > at.epoch && r.reply.Value != nil {
+			p.bring(ctx, r.reply)
 			return nil, false, &errMoved{to: viewOf(r.reply.Epoch, r.reply.Value)}
 		}
 		if r.reply.Epoch != at.epoch {
@@ -264,6 +265,21 @@
 	return nil
 }
 
+// bring hands what a replica has accepted in a later epoch to the others of
+// that epoch, as if it came late from its proposer. One that was not reached
+// when the epoch began gets its vote this way, even if nobody else is left
+// who knows of the epoch.
+func (p *Proposer) bring(ctx context.Context, r *control.PrepareReply) {
+	at := viewOf(r.Epoch, r.Value)
+	replies := gather(ctx, at.members, func(ctx context.Context, m *control.Member) (*control.InstallReply, error) {
+		return p.network.Install(ctx, m.Address, &control.InstallRequest{Replica: m.Identity, Epoch: r.Epoch, Ballot: r.Accepted, Value: r.Value})
+	})
+	// Whoever is missed now is tried again with the next round.
+	for range at.members {
+		<-replies
+	}
+}
+
 func (p *Proposer) chosen(v *control.Value) {
 	faulter.Reach(faulter.Chosen)
 	if p.onChosen != nil {
