What a failed try left behind in the level is taken out

Cause: the step of the level still had two bounds, both 5 %, and counters that no longer decided anything. It is one constant now; nothing else changes.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -111,7 +111,7 @@
 	if a.queue.size <= a.queueBound() {
 		return nil
 	}
-	a.level.refused++
+	a.level.refused = true
 	worst := a.queue.worst()
 	a.queue.remove(worst)
 	if worst == w {
@@ -132,7 +132,7 @@
 	removed := a.queue.remove(w)
 	if removed {
 		if ctx.Err() == nil {
-			a.level.refused++
+			a.level.refused = true
 		}
 		refusal := a.refusal()
 		a.mu.Unlock()
@@ -176,7 +176,7 @@
 
 func (a *Admitter) dropOld(now time.Time) {
 	for _, w := range a.queue.expire(now.Add(-a.longestWait())) {
-		a.level.refused++
+		a.level.refused = true
 		w.give <- a.refusal()
 	}
 }
--- a/pkg/admitter/level.go
+++ b/pkg/admitter/level.go
@@ -7,10 +7,8 @@
 	// that is more: what a step changes shows only after that.
 	window     = 50 * time.Millisecond
 	windowPart = 2
-	// raiseLeast and raiseMost bound the share of arrivals that one step up
-	// refuses more; between them it is the share that was refused here.
-	raiseLeast = 0.05
-	raiseMost  = 0.05
+	// raiseShare is the share of arrivals that one step up refuses more.
+	raiseShare = 0.05
 	// lowerShare is the share that one step down admits more.
 	lowerShare = 0.03
 	// queueTarget is the shortest wait within a window that counts as overload,
@@ -33,15 +31,13 @@
 	// least wait seen in this window, and whether anything was seen.
 	least time.Duration
 	seen  bool
-	// arrived and refused count the window's arrivals and its refusals for
-	// lack of room.
-	arrived, refused float32
+	// refused tells that the window saw a refusal for lack of room.
+	refused bool
 }
 
 func (l *level) arrive(p Priority) {
 	l.known[p.class()] = true
 	l.counts[p]++
-	l.arrived++
 	l.total++
 }
 
@@ -61,12 +57,12 @@
 		return
 	}
 	switch {
-	case l.seen && l.least > max(queueTarget, service/queuePart), l.refused > 0:
+	case l.seen && l.least > max(queueTarget, service/queuePart), l.refused:
 		l.raise()
 	default:
 		l.lower()
 	}
-	l.started, l.seen, l.arrived, l.refused = now, false, 0, 0
+	l.started, l.seen, l.refused = now, false, false
 	l.total = 0
 	for i := range l.counts {
 		l.counts[i] /= 2
@@ -75,8 +71,7 @@
 }
 
 func (l *level) raise() {
-	share := l.refused / max(l.arrived, 1)
-	want := l.total * min(max(share, raiseLeast), raiseMost)
+	want := l.total * raiseShare
 	for l.value < MaxPriority-1 && want > 0 {
 		want -= l.counts[l.value]
 		l.value++
