--- a/pkg/trialer/fleet.go
+++ b/pkg/trialer/fleet.go
@@ -20,9 +20,6 @@
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
-// firstPort begins the range of ports that a trial uses.
-const firstPort = 30100
-
 // warmUp is the time before the load, in which targets are no longer cold.
 const warmUp = 4 * time.Second
 
@@ -36,7 +33,6 @@
 	cancel  context.CancelFunc
 	stopped sync.WaitGroup
 	folder  string
-	port    int
 }
 
 // place is one server: a node and a stand-in target.
@@ -47,10 +43,8 @@
 	done     chan struct{}
 }
 
-func (f *fleet) address() string {
-	f.port++
-	return fmt.Sprintf("127.0.0.1:%d", firstPort+f.port)
-}
+// addresses of the nodes and stand-in targets of all trials in this process.
+var addresses emulator.Reserver
 
 // startNodes starts the nodes and their stand-in targets, and declares the
 // teams.
@@ -73,7 +67,7 @@
 // targets at random and retry. This is the baseline.
 func startBare(ctx context.Context, p *Plan) (*fleet, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &fleet{plan: p, keys: map[string]string{}, cancel: cancel, port: 500}
+	f := &fleet{plan: p, keys: map[string]string{}, cancel: cancel}
 	f.layout()
 	f.doors = nil
 	for l := range f.layers {
@@ -107,7 +101,7 @@
 			s := configurer.Default()
 			s.Instance = fmt.Sprintf("%s%d", layer.Service, i)
 			s.Centre = "trial"
-			s.Listen, s.Peer, s.Admin = f.address(), f.address(), f.address()
+			s.Listen, s.Peer, s.Admin = addresses.Next(), addresses.Next(), addresses.Next()
 			s.Data, s.Replicas, s.Seeds = "", nil, nil
 			s.Connections = layer.Slots + 20
 			if f.plan.Rule != "" {
@@ -118,7 +112,7 @@
 			}
 			s.Replicas, s.Seeds = []string{first}, []string{first}
 			o := emulator.Options{
-				Service: layer.Service, Address: f.address(), Admin: s.Admin, Entry: s.Listen, Slots: layer.Slots,
+				Service: layer.Service, Address: addresses.Next(), Admin: s.Admin, Entry: s.Listen, Slots: layer.Slots,
 				Time: time.Duration(layer.Time * float64(time.Millisecond)), Cold: time.Duration(layer.Cold) * time.Millisecond,
 			}
 			if l+1 < len(f.plan.Layers) {
@@ -137,7 +131,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for _, layer := range f.layers {
 		for _, p := range layer {
-			node, err := server.New(p.settings, timekeeper.System{}, log)
+			node, err := server.New(p.settings, timekeeper.System{}, log, nil)
 			if err != nil {
 				return err
 			}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -71,40 +70,14 @@
 
 func (f *fleet) path(name string) string { return filepath.Join(f.folder, name) }
 
-// firstPort begins a range below the one from which the system takes ports
-// for outgoing connections, so that nobody takes a port between two starts.
-const (
-	firstPort = 20000
-	portRange = 10000
-)
-
-var nextPort = os.Getpid() * 61 % portRange
-
-func freeAddress(c *qt.C) string {
-	for range portRange {
-		nextPort = (nextPort + 1) % portRange
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		u, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
-		}
-		u.Close()
-		return address
-	}
-	c.Fatal("no free port")
-	return ""
-}
+// addresses of the programs under test; parallel tests share it.
+var addresses emulator.Reserver
 
 // add describes a node; options are flags of its target.
 func (f *fleet) add(name, centre string, replica bool, options ...string) *node {
 	n := &node{fleet: f, name: name, centre: centre, replica: replica, options: options}
 	for _, a := range []*string{&n.listen, &n.peer, &n.admin, &n.target} {
-		*a = freeAddress(f.C)
+		*a = addresses.Next()
 	}
 	f.nodes[name] = n
 	f.order = append(f.order, name)
