--- a/cmd/primrosed/main.go
+++ b/cmd/primrosed/main.go
@@ -5,6 +5,10 @@
 	"os"
 
 	"github.com/primrosewall/primrosewall/pkg/launcher"
+	"github.com/primrosewall/primrosewall/platform"
 )
 
-func main() { os.Exit(launcher.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	faces := launcher.Faces{platform.Name: platform.New()}
+	os.Exit(launcher.Main(os.Args[1:], faces, os.Stdout, os.Stderr))
+}
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -18,8 +18,6 @@
 	minQueue = 8
 	// costWeight is that of the newest request in a team's average cost.
 	costWeight = 0.1
-	// rampTime is how long a cold target takes to get its full limit.
-	rampTime = 3 * time.Second
 	// rampStart is the part of the limit that a cold target begins with.
 	rampStart = 0.2
 	// minSlots is the least number of slots during the ramp.
@@ -40,9 +38,11 @@
 	clock timekeeper.Clock
 	rule  Rule
 
-	mu       sync.Mutex
-	slots    int
-	since    time.Time
+	mu    sync.Mutex
+	slots int
+	since time.Time
+	// ramp is how long the target takes after since to get its full limit.
+	ramp     time.Duration
 	limit    int
 	inflight int
 	queue    queue
@@ -57,16 +57,15 @@
 	return &Admitter{clock: clock, rule: rule, costs: map[string]float64{}}
 }
 
-// Announce sets the slots of the target; cold begins the ramp anew.
-func (a *Admitter) Announce(slots int, cold bool) {
+// Announce sets the slots of the target; cold is for how long the target is
+// slow after a start, and below 0 when it has not just started.
+func (a *Admitter) Announce(slots int, cold time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if cold {
-		a.since = a.clock.Now()
-	}
 	a.slots = slots
 	a.limit = min(slots, max(a.limit, minLimit))
-	if cold {
+	if cold >= 0 {
+		a.since, a.ramp = a.clock.Now(), cold
 		a.limit = slots
 	}
 	a.fill()
@@ -201,10 +200,10 @@
 // allowed is the limit, ramped up while the target is cold.
 func (a *Admitter) allowed(now time.Time) int {
 	age := now.Sub(a.since)
-	if age >= rampTime {
+	if age >= a.ramp {
 		return a.limit
 	}
-	part := rampStart + (1-rampStart)*age.Seconds()/rampTime.Seconds()
+	part := rampStart + (1-rampStart)*age.Seconds()/a.ramp.Seconds()
 	return min(a.limit, max(minSlots, int(part*float64(a.limit))))
 }
 
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// important and ordinary are two ranks.
+const important, ordinary = 10, 9
+
 // TestImportantIsShedLast fills a door with ordinary and important requests
 // in drawn orders: as long as an ordinary one waits, no important one is
 // refused.
@@ -47,14 +50,18 @@
 		random := rand.New(rand.NewPCG(seed, 0))
 		clock := &timekeeper.Manual{}
 		a := admitter.New(clock, admitter.Static{})
-		a.Announce(2, true)
+		a.Announce(2, 3*time.Second)
 		clock.Advance(time.Minute)
 		done := make(chan answer, 100)
-		important, refused := 0, 0
+		offered, refused := 0, 0
 		for i := range 60 {
-			p := admitter.NewPriority(random.IntN(4) == 0, random.IntN(2) == 0, random.Uint32())
-			if p.Important() {
-				important++
+			rank := uint32(ordinary)
+			if random.IntN(4) == 0 {
+				rank = important
+			}
+			p := admitter.NewPriority(rank, random.IntN(2) == 0, random.Uint32())
+			if rank == important {
+				offered++
 			}
 			o := &offer{a, p, "team", done}
 			go o.run()
@@ -67,16 +74,16 @@
 		for range 52 {
 			got := <-done
 			var load *admitter.LoadError
-			if errors.As(got.err, &load) && got.priority.Important() {
+			if errors.As(got.err, &load) && got.priority >= admitter.NewPriority(important, false, 0) {
 				refused++
 			}
 		}
 		// Two run, eight wait. An important one may be refused only when
 		// there are more than eight of them.
-		if important <= 8 {
+		if offered <= 8 {
 			qt.Assert(t, refused, qt.Equals, 0, qt.Commentf("seed %d", seed))
 		}
-		qt.Assert(t, refused <= max(important-8, 0), qt.IsTrue, qt.Commentf("seed %d: %d of %d", seed, refused, important))
+		qt.Assert(t, refused <= max(offered-8, 0), qt.IsTrue, qt.Commentf("seed %d: %d of %d", seed, refused, offered))
 	}
 }
 
@@ -85,7 +92,7 @@
 func TestTeamsTakeTurns(t *testing.T) {
 	clock := &timekeeper.Manual{}
 	a := admitter.New(clock, admitter.Static{})
-	a.Announce(4, true)
+	a.Announce(4, 3*time.Second)
 	clock.Advance(time.Minute)
 	done := make(chan answer, 100)
 	var running []*admitter.Ticket
@@ -116,7 +123,7 @@
 func TestLimitFollowsTheTarget(t *testing.T) {
 	clock := &timekeeper.Manual{}
 	a := admitter.New(clock, &admitter.AIMD{})
-	a.Announce(20, true)
+	a.Announce(20, 3*time.Second)
 	clock.Advance(time.Minute)
 	for range 50 {
 		ticket, err := a.Admit(context.Background(), "team", 0)
--- a/pkg/admitter/priority.go
+++ b/pkg/admitter/priority.go
@@ -7,30 +7,23 @@
 
 const (
 	hashBits = 8
+	rankBits = 4
 	// MaxPriority is higher than every priority in use.
-	MaxPriority  Priority = 1 << 10
-	importantBit Priority = 1 << 9
-	paidBit      Priority = 1 << 8
+	MaxPriority Priority = 1 << (rankBits + 1 + hashBits)
+	paidBit     Priority = 1 << hashBits
+	classCount           = 1 << (rankBits + 1)
 )
 
-// NewPriority combines importance, whether upstream services have already
-// spent work on the request, and a stable hash of the root request.
-func NewPriority(important, paid bool, root uint32) Priority {
-	p := Priority(root >> (32 - hashBits))
-	if important {
-		p |= importantBit
-	}
+// NewPriority combines the rank of the request, whether upstream services have
+// already spent work on it, and a stable hash of the root request.
+func NewPriority(rank uint32, paid bool, root uint32) Priority {
+	p := Priority(min(rank, 1<<rankBits-1))<<(hashBits+1) | Priority(root>>(32-hashBits))
 	if paid {
 		p |= paidBit
 	}
 	return p
 }
 
-// Important tells whether the priority is that of an important request.
-func (p Priority) Important() bool { return p&importantBit != 0 }
-
 // class is the part of the priority that orders the queue; the hash only
 // decides who is refused.
 func (p Priority) class() int { return int(p >> hashBits) }
-
-const classCount = 4
--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/forwarder"
@@ -46,8 +48,9 @@
 // Listener hears of changes of the own target.
 type Listener interface {
 	// Changed is called with the target, or nil when there is none that
-	// takes new work; cold tells that it has just started.
-	Changed(target *forwarder.Target, cold bool)
+	// takes new work; cold is for how long it is slow after a start, and below
+	// 0 when it has not just started.
+	Changed(target *forwarder.Target, cold time.Duration)
 	// Crashed is called once for each crash of the target.
 	Crashed(crash string)
 }
@@ -64,6 +67,125 @@
 	expiry  time.Time
 	// crashed is the life that is known to have crashed.
 	crashed string
+	// last is the newest report that was taken.
+	last order
+	// ended is the life that has said that it is gone.
+	ended string
+}
+
+// order tells reports apart by when their target was started, then by their
+// sequence within that life.
+type order struct {
+	born     int64
+	sequence uint64
+}
+
+func (o order) before(other order) bool {
+	if o.born != other.born {
+		return o.born < other.born
+	}
+	return o.sequence < other.sequence
+}
+
+// Report is what a target says about itself in a fleet whose targets report in
+// a steady rhythm and leave by saying so.
+type Report struct {
+	Announcement
+	// Cold is for how much longer the target is slow.
+	Cold time.Duration
+	// Leaving says that the target takes no new work soon.
+	Leaving bool
+	// Born is when the target was started, in milliseconds since 1970, and
+	// Sequence counts its reports since then.
+	Born     int64
+	Sequence uint64
+	// Term is how long the report counts without another one.
+	Term time.Duration
+}
+
+// Report takes a report. One that is older than another that was taken, also
+// of a former life, changes nothing.
+func (a *Announcer) Report(r Report, drain time.Duration) {
+	at := order{r.Born, r.Sequence}
+	a.mu.Lock()
+	stale := !a.last.before(at) || r.Life == a.ended
+	if stale {
+		a.mu.Unlock()
+		return
+	}
+	a.last = at
+	known := a.target
+	suspect := r.Life == a.crashed
+	a.mu.Unlock()
+	switch {
+	case r.Leaving:
+		a.Leave(r.Life, drain)
+	case suspect:
+		c := &check{announcer: a, target: targetOf(r.Announcement), report: &r}
+		go c.run()
+	default:
+		a.announce(r.Announcement, r.Term, r.Cold, known == nil || known.Life != r.Life)
+	}
+}
+
+func targetOf(said Announcement) *forwarder.Target {
+	return &forwarder.Target{Service: said.Service, Address: said.Address, Slots: said.Slots, Life: said.Life}
+}
+
+// Leave stops new work for a life of the target: other nodes are told at once,
+// and after drain this node hands it nothing more.
+func (a *Announcer) Leave(life string, drain time.Duration) {
+	a.mu.Lock()
+	target := a.target
+	if target == nil || target.Life != life || a.leaving {
+		a.mu.Unlock()
+		return
+	}
+	a.leaving = true
+	a.mu.Unlock()
+	a.listener.Changed(nil, 0)
+	l := &closing{announcer: a, target: target, after: drain}
+	go l.run()
+}
+
+// End takes the word of a life that it is gone: for drain it may still take
+// requests that are on their way, unless it was leaving already.
+func (a *Announcer) End(life string, drain time.Duration) {
+	a.mu.Lock()
+	leaving := a.leaving && a.target != nil && a.target.Life == life
+	a.ended = life
+	a.mu.Unlock()
+	if leaving {
+		a.close(life)
+		return
+	}
+	a.Leave(life, drain)
+}
+
+// Misdirected hears that another target answered in place of one.
+func (a *Announcer) Misdirected(t *forwarder.Target) { a.drop(t) }
+
+// closing closes a leaving target when its time is over.
+type closing struct {
+	announcer *Announcer
+	target    *forwarder.Target
+	after     time.Duration
+}
+
+func (c *closing) run() {
+	<-c.announcer.clock.After(c.after)
+	c.announcer.close(c.target.Life)
+}
+
+// close lets a leaving target take no more requests.
+func (a *Announcer) close(life string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving && a.target != nil && a.target.Life == life {
+		closed := *a.target
+		closed.Closed = true
+		a.target = &closed
+	}
 }
 
 // New makes an announcer; inflight tells how many requests the target runs.
@@ -100,7 +222,7 @@
 	}
 	a.mu.Unlock()
 	if over {
-		a.listener.Changed(nil, false)
+		a.listener.Changed(nil, 0)
 	}
 }
 
@@ -151,14 +273,27 @@
 	return nil
 }
 
+// coldTime is how long a target counts as cold that does not say.
+const coldTime = 3 * time.Second
+
 // Announce takes or renews an announcement.
 func (a *Announcer) Announce(said Announcement) {
+	a.mu.Lock()
+	late := said.Life == a.crashed
+	a.mu.Unlock()
+	if late {
+		// A late renewal of a target that has crashed.
+		return
+	}
+	a.announce(said, leaseTerm, coldTime, false)
+}
+
+func (a *Announcer) announce(said Announcement, term, cold time.Duration, back bool) {
 	a.mu.Lock()
 	old := a.target
-	next := &forwarder.Target{Service: said.Service, Address: said.Address, Slots: said.Slots, Life: said.Life}
-	a.expiry = a.clock.Now().Add(leaseTerm)
-	if said.Life == a.crashed || (old != nil && old.Life == said.Life && a.leaving) {
-		// A late renewal of a target that has crashed or is leaving.
+	next := targetOf(said)
+	a.expiry = a.clock.Now().Add(term)
+	if old != nil && old.Life == said.Life && a.leaving && !back {
 		a.mu.Unlock()
 		return
 	}
@@ -166,13 +301,16 @@
 		a.mu.Unlock()
 		return
 	}
-	cold := old == nil || old.Life != said.Life
-	replaced := old != nil && cold && !a.leaving
+	fresh := old == nil || old.Life != said.Life
+	replaced := old != nil && fresh && !a.leaving
 	a.target, a.leaving = next, false
 	a.mu.Unlock()
 	if replaced {
 		a.crash(old)
 	}
+	if !fresh {
+		cold = -1
+	}
 	a.listener.Changed(next, cold)
 }
 
@@ -186,24 +324,46 @@
 type check struct {
 	announcer *Announcer
 	target    *forwarder.Target
+	// report is taken when the target listens; nil for none.
+	report *Report
 }
 
 func (c *check) run() {
 	conn, err := net.DialTimeout("tcp", c.target.Address, crashDial)
 	if err == nil {
 		conn.Close()
+		if c.report != nil {
+			c.announcer.revive(c.report)
+		}
 		return
 	}
-	a := c.announcer
+	if c.report == nil && errors.Is(err, syscall.ECONNREFUSED) {
+		c.announcer.drop(c.target)
+	}
+}
+
+// revive takes back a life that was taken for crashed.
+func (a *Announcer) revive(r *Report) {
+	a.mu.Lock()
+	if a.crashed == r.Life {
+		a.crashed = ""
+	}
+	a.mu.Unlock()
+	a.announce(r.Announcement, r.Term, r.Cold, true)
+}
+
+// drop forgets a target that is not there any more.
+func (a *Announcer) drop(t *forwarder.Target) {
 	a.mu.Lock()
-	gone := a.target == c.target && !a.leaving
+	gone := a.target != nil && a.target.Life == t.Life
+	told := gone && !a.leaving
 	if gone {
 		a.target = nil
 	}
 	a.mu.Unlock()
-	if gone {
-		a.crash(c.target)
-		a.listener.Changed(nil, false)
+	if told {
+		a.crash(t)
+		a.listener.Changed(nil, 0)
 	}
 }
 
@@ -228,7 +388,7 @@
 	if target == nil {
 		return nil
 	}
-	a.listener.Changed(nil, false)
+	a.listener.Changed(nil, 0)
 	if err := a.pause(ctx, Spread); err != nil {
 		return err
 	}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosewall/primrosewall/pkg/dialer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -25,6 +26,7 @@
 // messages of the replicator, the deduplicator, the limiter and the gossiper.
 type Caller struct {
 	client *http.Client
+	scheme string
 
 	mu       sync.Mutex
 	replicas map[string]control.Replica
@@ -34,22 +36,33 @@
 // New makes a caller.
 func New(settings *tls.Config) *Caller {
 	transport := &http.Transport{
+		DialContext:     dialer.Dial,
 		TLSClientConfig: settings, TLSHandshakeTimeout: handshakeTimeout,
 		MaxIdleConns: idleTotal, MaxIdleConnsPerHost: idlePerNode, IdleConnTimeout: idleTimeout,
 	}
 	return &Caller{
 		client:   &http.Client{Transport: transport},
+		scheme:   schemeOf(settings),
 		replicas: map[string]control.Replica{}, peers: map[string]control.Peer{},
 	}
 }
 
+// schemeOf is that of addresses of other nodes; without TLS settings links
+// are plain.
+func schemeOf(settings *tls.Config) string {
+	if settings == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
 // Replica returns the client of a replica.
 func (c *Caller) Replica(address string) control.Replica {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r, ok := c.replicas[address]
 	if !ok {
-		r = control.NewReplicaProtobufClient("https://"+address, c.client)
+		r = control.NewReplicaProtobufClient(c.scheme+address, c.client)
 		c.replicas[address] = r
 	}
 	return r
@@ -61,7 +74,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[address]
 	if !ok {
-		p = control.NewPeerProtobufClient("https://"+address, c.client)
+		p = control.NewPeerProtobufClient(c.scheme+address, c.client)
 		c.peers[address] = p
 	}
 	return p
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/decoder"
 )
@@ -52,9 +53,85 @@
 	// static.
 	Rule string `json:"rule"`
 
+	// Interface names how callers, targets and operators speak to this node;
+	// empty is the daemon's own.
+	Interface string `json:"interface"`
+	// Links is how nodes reach each other: tls, or plain where the network
+	// between them is trusted and no secret can be handed out.
+	Links string `json:"links"`
+	// Ready is the address of the readiness check; empty for none.
+	Ready string `json:"ready"`
+	// Control is the address at which the own target and operators speak the
+	// interface named above; empty for none.
+	Control string `json:"control"`
+	// Metrics is a further address for metrics; empty for none.
+	Metrics string `json:"metrics"`
+	// Found allows this start to found the fleet, when its disk is empty; true
+	// unless it is set.
+	Found bool `json:"found"`
+	// Sameport says that seeds name machines only: their nodes listen for
+	// other nodes at the port that this node has in peer.
+	Sameport bool `json:"sameport"`
+	// Heal lets replicas replace a lost replica by themselves.
+	Heal bool `json:"heal"`
+	// Target is the address of the own target, where the daemon is told.
+	Target string `json:"target"`
+	// Service is that of the own target, where the daemon is told.
+	Service string `json:"service"`
+	// Memory in megabytes that the process may use; 0 for no bound.
+	Memory int `json:"memory"`
+	// Grace is the time from the stop signal to the end of the process.
+	Grace Duration `json:"grace"`
+	// Drain is the time within which an acknowledged leave of a target binds.
+	Drain Duration `json:"drain"`
+	// Retry bounds the second sends of the whole fleet.
+	Retry Retry `json:"retry"`
+	// Overage is what may be admitted beyond the limits of teams while their
+	// holders are out of reach.
+	Overage Overage `json:"overage"`
+
 	secret []byte
 }
 
+// Retry bounds the second sends to a service over the whole fleet.
+type Retry struct {
+	// Ratio of second sends to first ones.
+	Ratio float64 `json:"ratio"`
+	// Window over which both are counted.
+	Window Duration `json:"window"`
+	// Slack is the number of second sends in a window beyond the ratio.
+	Slack float64 `json:"slack"`
+}
+
+// Overage is a tolerance of the limits of teams over a window.
+type Overage struct {
+	Window Duration `json:"window"`
+	// Ratio of what the limit allows in a window.
+	Ratio float64 `json:"ratio"`
+	// Slack is a number of requests in a window beyond the ratio.
+	Slack float64 `json:"slack"`
+}
+
+// Duration is a time in settings, such as "2s" or "1500ms".
+type Duration struct{ time.Duration }
+
+// UnmarshalText implements encoding.TextUnmarshaler; empty text is no time.
+func (d *Duration) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		d.Duration = 0
+		return nil
+	}
+	value, err := time.ParseDuration(string(text))
+	d.Duration = value
+	return err
+}
+
+// The kinds of links.
+const (
+	LinksTLS   = "tls"
+	LinksPlain = "plain"
+)
+
 // The rules for the concurrency limit.
 const (
 	RuleAIMD     = "aimd"
@@ -77,7 +154,7 @@
 		Listen: defaultListen, Peer: defaultPeer, Admin: defaultAdmin,
 		Data:        filepath.Join(os.TempDir(), "primrosed-data"),
 		Replicas:    []string{defaultPeer},
-		Connections: defaultConnections, Rule: RuleAIMD,
+		Connections: defaultConnections, Rule: RuleAIMD, Links: LinksTLS, Found: true,
 		secret: []byte(embeddedSecret),
 	}
 }
@@ -91,17 +168,36 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	s := &Settings{Connections: defaultConnections, Rule: RuleAIMD}
+	s := &Settings{Connections: defaultConnections, Rule: RuleAIMD, Links: LinksTLS, Found: true}
 	document, err := decoder.Decode(file, source, s)
 	if err != nil {
 		return nil, err
 	}
+	s.seedPorts()
 	if err := s.check(document); err != nil {
 		return nil, err
 	}
+	if s.Links == LinksPlain {
+		return s, nil
+	}
 	return s, s.readSecret(document)
 }
 
+// seedPorts gives the seeds the own peer port where they name machines only.
+func (s *Settings) seedPorts() {
+	_, port, err := net.SplitHostPort(s.Peer)
+	if !s.Sameport || err != nil {
+		return
+	}
+	for _, list := range [][]string{s.Seeds, s.Replicas} {
+		for i, address := range list {
+			if host, _, err := net.SplitHostPort(address); err == nil {
+				list[i] = net.JoinHostPort(host, port)
+			}
+		}
+	}
+}
+
 func (s *Settings) check(d *decoder.Document) error {
 	if s.Instance == "" || strings.ContainsAny(s.Instance, " /\t\n") {
 		return d.Problem("instance", "is %q; the unique name of this instance would be right", s.Instance)
@@ -109,14 +205,8 @@
 	if s.Centre == "" {
 		return d.Problem("centre", "is empty; the data centre of this instance would be right")
 	}
-	addresses := map[string]string{"listen": s.Listen, "peer": s.Peer, "admin": s.Admin}
-	for _, name := range []string{"listen", "peer", "admin"} {
-		if err := checkAddress(d, name, addresses[name]); err != nil {
-			return err
-		}
-	}
-	if s.Listen == s.Peer || s.Listen == s.Admin || s.Peer == s.Admin {
-		return d.Problem("listen", "two of listen, peer and admin are equal; three different ports would be right")
+	if err := s.checkListeners(d); err != nil {
+		return err
 	}
 	lists := map[string][]string{"seeds": s.Seeds, "replicas": s.Replicas}
 	for _, name := range []string{"seeds", "replicas"} {
@@ -129,8 +219,35 @@
 	return s.checkRest(d)
 }
 
+// checkListeners checks the addresses that may be empty; a node with an
+// interface of its own needs no admin address, one without a target needs no
+// address for callers.
+func (s *Settings) checkListeners(d *decoder.Document) error {
+	named := []struct{ name, address string }{
+		{"listen", s.Listen}, {"peer", s.Peer}, {"admin", s.Admin}, {"ready", s.Ready}, {"control", s.Control}, {"metrics", s.Metrics}, {"target", s.Target},
+	}
+	seen := map[string]string{}
+	for _, n := range named {
+		optional := n.name != "peer" && (s.Interface != "" || (n.name != "listen" && n.name != "admin"))
+		if n.address == "" && optional {
+			continue
+		}
+		if err := checkAddress(d, n.name, n.address); err != nil {
+			return err
+		}
+		if other, ok := seen[n.address]; ok {
+			return d.Problem(n.name, "is equal to %s; a port of its own would be right", other)
+		}
+		seen[n.address] = n.name
+	}
+	if s.Links != LinksTLS && s.Links != LinksPlain {
+		return d.Problem("links", "is %q; tls or plain would be right", s.Links)
+	}
+	return nil
+}
+
 func (s *Settings) checkRest(d *decoder.Document) error {
-	if len(s.Operators) == 0 && !isLoopback(s.Admin) {
+	if s.Admin != "" && len(s.Operators) == 0 && !isLoopback(s.Admin) {
 		return d.Problem("operators", "is empty and admin is %s; name operators, or let admin listen on loopback", s.Admin)
 	}
 	if s.Contact < 0 {
@@ -163,6 +280,16 @@
 	return nil
 }
 
+// Reload returns a copy of the settings with what may change while the daemon
+// runs taken from newer ones: whom it knows, and its bounds.
+func (s *Settings) Reload(newer *Settings) *Settings {
+	next := *s
+	next.Seeds, next.Replicas = newer.Seeds, newer.Replicas
+	next.Grace, next.Drain, next.Contact = newer.Grace, newer.Drain, newer.Contact
+	next.Retry, next.Overage = newer.Retry, newer.Overage
+	return &next
+}
+
 func checkAddress(d *decoder.Document, field, address string) error {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil || port == "" || net.ParseIP(host) == nil {
--- /dev/null
+++ b/pkg/connector/connector.go
@@ -0,0 +1,342 @@
+package connector
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/dialer"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+)
+
+const (
+	// idleTime is how long a connection is kept when the target names no time.
+	idleTime = 5 * time.Second
+	// idleMargin is kept from the time that the target names, for what is on
+	// its way when the target closes the connection.
+	idleMargin = time.Second
+	// maxForeign bounds how many answers to other requests are passed over.
+	maxForeign = 2
+	// readBuffer and writeBuffer are sizes in bytes.
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
+	// maxHead bounds the head of an answer, in bytes.
+	maxHead = 256 << 10
+)
+
+// Error says that no answer came. Sent tells whether a byte of the request may
+// have reached the target.
+type Error struct {
+	Sent bool
+	// Reused tells that the connection had carried a request before.
+	Reused bool
+	Err    error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("no answer (sent %t): %v", e.Sent, e.Err) }
+
+// Unwrap gives the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Judge tells whether an answer belongs to the request that was sent.
+type Judge func(*http.Response) bool
+
+// Connector keeps the idle connections to targets by address.
+type Connector struct {
+	clock timekeeper.Clock
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// dialed counts connections made.
+	dialed int64
+}
+
+// New makes a connector.
+func New(clock timekeeper.Clock) *Connector {
+	return &Connector{clock: clock, idle: map[string][]*conn{}}
+}
+
+// Dialed is how many connections were made.
+func (c *Connector) Dialed() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dialed
+}
+
+// conn is one connection to a target.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	limit   *headLimit
+	writer  *bufio.Writer
+	used    bool
+	expires time.Time
+}
+
+// headLimit ends a connection whose answers have heads without end.
+type headLimit struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errors.New("the head of the answer is too long")
+	}
+	n, err := l.reader.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
+
+// Do sends a request to an address and returns the answer that judge takes
+// for its own. The context ends the exchange, the reading of the answer's
+// body included. Errors are of type *Error.
+func (c *Connector) Do(ctx context.Context, address string, r *http.Request, judge Judge) (*http.Response, error) {
+	cn, err := c.get(ctx, address)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	x := &exchange{connector: c, conn: cn, request: r, reused: cn.used, written: make(chan error, 1)}
+	x.stop = context.AfterFunc(ctx, x.abort)
+	cn.used = true
+	if r.ContentLength == 0 {
+		x.run()
+	} else {
+		go x.run()
+	}
+	response, err := x.read(judge)
+	if err != nil {
+		x.stop()
+		// Nothing goes out after this, so what was sent is final.
+		cn.Close()
+		return nil, &Error{Sent: x.sent.Load(), Reused: x.reused, Err: err}
+	}
+	response.Body = &answerBody{exchange: x, body: response.Body, response: response}
+	return response, nil
+}
+
+// get returns an idle connection that is still open and has nothing to read,
+// or a new one.
+func (c *Connector) get(ctx context.Context, address string) (*conn, error) {
+	for {
+		cn := c.pop(address)
+		if cn == nil {
+			break
+		}
+		if cn.clean() && c.clock.Now().Before(cn.expires) {
+			return cn, nil
+		}
+		cn.Close()
+	}
+	raw, err := dialer.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.dialed++
+	c.mu.Unlock()
+	limit := &headLimit{reader: raw, left: maxHead}
+	return &conn{
+		Conn: raw, address: address, limit: limit,
+		reader: bufio.NewReaderSize(limit, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer),
+	}, nil
+}
+
+func (c *Connector) pop(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	c.idle[address] = list[:len(list)-1]
+	return last
+}
+
+// put keeps a connection and closes those that have been idle for too long.
+func (c *Connector) put(cn *conn) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	list := c.idle[cn.address]
+	var old []*conn
+	for len(list) > 0 && !now.Before(list[0].expires) {
+		old, list = append(old, list[0]), list[1:]
+	}
+	c.idle[cn.address] = append(list, cn)
+	c.mu.Unlock()
+	for _, o := range old {
+		o.Close()
+	}
+}
+
+// clean tells that the target has neither closed the connection nor sent
+// anything that nobody has asked for.
+func (c *conn) clean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// markWriter notes when the first byte of a request goes out.
+type markWriter struct {
+	conn net.Conn
+	mark func()
+}
+
+// Write implements io.Writer.
+func (w *markWriter) Write(p []byte) (int, error) {
+	w.mark()
+	return w.conn.Write(p)
+}
+
+// exchange is one request on a connection.
+type exchange struct {
+	connector *Connector
+	conn      *conn
+	request   *http.Request
+	reused    bool
+	sent      atomic.Bool
+	stop      func() bool
+	// written receives the writer's error once the whole request is out.
+	written chan error
+}
+
+func (x *exchange) abort() { x.conn.Close() }
+
+// run writes the request while its answer may already be read.
+func (x *exchange) run() {
+	cn := x.conn
+	cn.writer.Reset(&markWriter{conn: cn.Conn, mark: func() { x.sent.Store(true) }})
+	err := x.request.Write(cn.writer)
+	if err == nil {
+		err = cn.writer.Flush()
+	}
+	if err != nil {
+		// A request that is cut short must not look whole.
+		cn.Close()
+	}
+	x.written <- err
+}
+
+// read returns the first final answer that belongs to the request.
+func (x *exchange) read(judge Judge) (*http.Response, error) {
+	for foreign := 0; ; {
+		x.conn.limit.left = maxHead
+		response, err := http.ReadResponse(x.conn.reader, x.request)
+		if err != nil {
+			return nil, err
+		}
+		x.conn.limit.left = 1 << 62
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		if judge == nil || judge(response) {
+			return response, nil
+		}
+		if foreign++; foreign > maxForeign || response.ContentLength < 0 {
+			return nil, errors.New("the answer belongs to another request")
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// finish gives the connection back if it can serve another request.
+func (x *exchange) finish(response *http.Response) {
+	if !x.stop() {
+		return
+	}
+	keep := false
+	select {
+	case err := <-x.written:
+		keep = err == nil
+	default:
+		// The target has answered before it took the whole request; the rest of
+		// the body would be taken for the next request.
+	}
+	if !keep || response.Close || x.request.Close || x.conn.reader.Buffered() > 0 || response.ContentLength < 0 && !chunked(response) {
+		x.conn.Close()
+		return
+	}
+	idle := keepAlive(response.Header)
+	if idle <= 0 {
+		x.conn.Close()
+		return
+	}
+	x.conn.expires = x.connector.clock.Now().Add(idle)
+	x.connector.put(x.conn)
+}
+
+func chunked(r *http.Response) bool {
+	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+}
+
+// keepAlive is how long a connection may be idle, by what the target says.
+func keepAlive(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return idleTime
+}
+
+// answerBody gives the connection back at the end of the body.
+type answerBody struct {
+	exchange *exchange
+	response *http.Response
+	body     io.ReadCloser
+	done     bool
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == io.EOF && !b.done {
+		b.done = true
+		b.exchange.finish(b.response)
+	}
+	return n, err
+}
+
+// Close implements io.Closer. A body that was not read to its end takes the
+// connection with it.
+func (b *answerBody) Close() error {
+	if !b.done {
+		b.done = true
+		b.exchange.stop()
+		b.exchange.conn.Close()
+	}
+	return nil
+}
--- a/pkg/declarer/declarer.go
+++ b/pkg/declarer/declarer.go
@@ -30,10 +30,35 @@
 // Declaration is everything that operators declare. The zero value is a valid
 // declaration that serves nothing.
 type Declaration struct {
-	// Centres maps each data centre to its witnesses and share.
+	// Centres maps each data centre to its witnesses and share. Without any,
+	// limits are held for the whole fleet, and the replicas are the witnesses.
 	Centres map[string]Centre `json:"centres"`
 	Teams   map[string]Team   `json:"teams"`
 	Routes  []Route           `json:"routes"`
+	// Services holds what nodes must know about the targets of a service.
+	Services map[string]Service `json:"services,omitempty"`
+	// Limits bound what callers may send.
+	Limits Limits `json:"limits,omitzero"`
+}
+
+// Service describes the targets of a service.
+type Service struct {
+	// Health is the path of the health check; empty when there is none.
+	Health string `json:"health,omitempty"`
+	// Connections that one target accepts from all callers; 0 when not known.
+	Connections int `json:"connections,omitempty"`
+}
+
+// Limits bound what callers may send; 0 leaves the default of the daemon.
+type Limits struct {
+	// Header in bytes, for the head of a request.
+	Header int64 `json:"header,omitempty"`
+	// Body in bytes, for the body of a request.
+	Body int64 `json:"body,omitempty"`
+	// Head in milliseconds, for sending the head of a request.
+	Head int64 `json:"head,omitempty"`
+	// Idle in milliseconds, between two requests on a connection.
+	Idle int64 `json:"idle,omitempty"`
 }
 
 // Centre is a data centre.
@@ -52,6 +77,10 @@
 	Rate float64 `json:"rate"`
 	// Burst in requests over the whole fleet.
 	Burst float64 `json:"burst"`
+	// Priority goes before that of the route; 0 is the highest, nil the lowest.
+	Priority *int `json:"priority,omitempty"`
+	// Free teams have no limit; their rate and burst are 0.
+	Free bool `json:"free,omitempty"`
 }
 
 // Route says which service answers which requests, and how.
@@ -60,8 +89,21 @@
 	// Methods that match; empty matches all.
 	Methods []string `json:"methods,omitempty"`
 	// Path is a prefix that ends at a path segment.
-	Path    string `json:"path"`
-	Service string `json:"service"`
+	Path string `json:"path"`
+	// Host that matches; empty matches every host.
+	Host    string `json:"host,omitempty"`
+	Service string `json:"service,omitempty"`
+	// Split divides requests over services in place of Service.
+	Split []Part `json:"split,omitempty"`
+	// Priority orders requests under overload, 0 first; nil leaves it to
+	// Important.
+	Priority *int `json:"priority,omitempty"`
+	// Objective in milliseconds, within which an answer has its full use.
+	Objective int64 `json:"objective,omitempty"`
+	// Exact says that a slash at the end of Path must stand in the request too.
+	Exact bool `json:"exact,omitempty"`
+	// Unsafe says that the method tells nothing: only Idempotent counts.
+	Unsafe bool `json:"unsafe,omitempty"`
 	// Important requests are shed last.
 	Important bool `json:"important,omitempty"`
 	// Open routes need no key.
@@ -83,6 +125,52 @@
 	return *r.Retries
 }
 
+// Part is one service of a split route.
+type Part struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+const (
+	// priorityCount is the number of priorities that are told apart; lower
+	// ones count as the last of them.
+	priorityCount = 4
+	// ImportantPriority and OrdinaryPriority stand for Important.
+	ImportantPriority = 1
+	OrdinaryPriority  = 2
+	// MaxRank is the highest rank of a request.
+	MaxRank = priorityCount*priorityCount - 1
+)
+
+// Rank orders the requests of a team on a route under overload: higher ranks
+// are shed later. The team's priority goes before the route's.
+func Rank(t *Team, r *Route) uint32 {
+	route := OrdinaryPriority
+	switch {
+	case r.Priority != nil:
+		route = *r.Priority
+	case r.Important:
+		route = ImportantPriority
+	}
+	team := priorityCount - 1
+	if t != nil && t.Priority != nil {
+		team = *t.Priority
+	}
+	return uint32(inverse(team)*priorityCount + inverse(route))
+}
+
+func inverse(priority int) int {
+	return priorityCount - 1 - min(max(priority, 0), priorityCount-1)
+}
+
+// Parts returns the services of a route with their weights.
+func (r *Route) Parts() []Part {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []Part{{Service: r.Service, Weight: 1}}
+}
+
 // Parse reads a declaration and checks it.
 func Parse(file string, source []byte) (*Declaration, error) {
 	d := &Declaration{}
@@ -96,6 +184,28 @@
 	return d, nil
 }
 
+// FieldError says which field of a declaration is wrong, and how.
+type FieldError struct{ Field, Text string }
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Field + " " + e.Text }
+
+// problems makes the errors of a check.
+type problems interface {
+	Problem(field, format string, args ...any) error
+}
+
+// fields names fields without a place in a file.
+type fields struct{}
+
+// Problem implements problems.
+func (fields) Problem(field, format string, args ...any) error {
+	return &FieldError{Field: field, Text: fmt.Sprintf(format, args...)}
+}
+
+// Check checks a declaration that was not parsed from a file.
+func (d *Declaration) Check() error { return d.check(fields{}) }
+
 // Canonical returns the declaration as JSON with a fixed order of fields.
 func (d *Declaration) Canonical() ([]byte, error) {
 	text, err := json.Marshal(d)
@@ -105,7 +215,7 @@
 	return text, nil
 }
 
-func (d *Declaration) check(doc *decoder.Document) error {
+func (d *Declaration) check(doc problems) error {
 	for name, c := range d.Centres {
 		at := "centres/" + name
 		if len(c.Witnesses) == 0 {
@@ -121,7 +231,7 @@
 	return d.checkRoutes(doc)
 }
 
-func (d *Declaration) checkTeams(doc *decoder.Document) error {
+func (d *Declaration) checkTeams(doc problems) error {
 	owners := map[string]string{}
 	for _, name := range d.TeamNames() {
 		t := d.Teams[name]
@@ -152,7 +262,7 @@
 	return nil
 }
 
-func (d *Declaration) checkRoutes(doc *decoder.Document) error {
+func (d *Declaration) checkRoutes(doc problems) error {
 	names := map[string]bool{}
 	for i, r := range d.Routes {
 		at := fmt.Sprintf("routes/%d", i)
@@ -163,8 +273,12 @@
 			return doc.Problem(at+"/name", "%q stands twice; names tell routes apart", r.Name)
 		case !strings.HasPrefix(r.Path, "/"):
 			return doc.Problem(at+"/path", "is %q; a path that begins with / would be right", r.Path)
-		case r.Service == "":
+		case r.Service == "" && len(r.Split) == 0:
 			return doc.Problem(at+"/service", "is empty; the name that its targets announce would be right")
+		case r.Service != "" && len(r.Split) > 0:
+			return doc.Problem(at+"/split", "stands beside service; one of them would be right")
+		case len(r.Split) > 0 && !validSplit(r.Split):
+			return doc.Problem(at+"/split", "weights must not be negative and must not add up to 0")
 		case r.Retries != nil && *r.Retries > MaxRetries:
 			return doc.Problem(at+"/retries", "is %d; 0 to %d would be right", *r.Retries, MaxRetries)
 		case r.Timeout < 0 || r.Timeout > MaxTimeout:
@@ -175,6 +289,17 @@
 	return nil
 }
 
+func validSplit(parts []Part) bool {
+	total := 0
+	for _, p := range parts {
+		if p.Service == "" || p.Weight < 0 {
+			return false
+		}
+		total += p.Weight
+	}
+	return total > 0
+}
+
 // TeamNames returns the names of all teams in order.
 func (d *Declaration) TeamNames() []string {
 	names := make([]string, 0, len(d.Teams))
@@ -188,6 +313,9 @@
 // Share returns the part of every limit, from 0 to 1, that belongs to a data
 // centre. The shares of all data centres add up to 1.
 func (d *Declaration) Share(centre string) float64 {
+	if len(d.Centres) == 0 {
+		return 1
+	}
 	c, ok := d.Centres[centre]
 	if !ok {
 		return 0
--- a/pkg/enforcer/enforcer.go
+++ b/pkg/enforcer/enforcer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -21,18 +22,32 @@
 
 const chosenFile = "chosen"
 
+// Interpreter reads a document in the format that operators of this fleet use.
+// A fleet whose operators write declarations needs none.
+type Interpreter func(document []byte) (*declarer.Declaration, error)
+
 // Config is one version with its look-up tables. It never changes.
 type Config struct {
 	value       *control.Value
 	declaration *declarer.Declaration
 	teams       map[string]string
-	routes      map[string][]*declarer.Route
+	routes      map[place][]*declarer.Route
 }
 
+// place is where a route stands: a host, or none, and a path.
+type place struct{ host, path string }
+
 // NewConfig builds the look-up tables of a value.
-func NewConfig(value *control.Value) (*Config, error) {
+func NewConfig(value *control.Value, interpret Interpreter) (*Config, error) {
 	c := &Config{value: value, declaration: &declarer.Declaration{}}
-	if len(value.Declaration) > 0 {
+	switch {
+	case len(value.Document) > 0 && interpret != nil:
+		d, err := interpret(value.Document)
+		if err != nil {
+			return nil, fmt.Errorf("version %d: %w", value.Version, err)
+		}
+		c.declaration = d
+	case len(value.Declaration) > 0:
 		d, err := declarer.Parse("declaration", value.Declaration)
 		if err != nil {
 			return nil, fmt.Errorf("version %d: %w", value.Version, err)
@@ -52,11 +67,11 @@
 			}
 		}
 	}
-	c.routes = map[string][]*declarer.Route{}
+	c.routes = map[place][]*declarer.Route{}
 	for i := range c.declaration.Routes {
 		r := &c.declaration.Routes[i]
-		path := strings.TrimRight(r.Path, "/")
-		c.routes[path] = append(c.routes[path], r)
+		at := place{strings.ToLower(r.Host), strings.TrimRight(r.Path, "/")}
+		c.routes[at] = append(c.routes[at], r)
 	}
 }
 
@@ -75,13 +90,49 @@
 	return name, ok
 }
 
-// Route returns the route with the longest path that matches a request.
-func (c *Config) Route(method, path string) *declarer.Route {
+// Domain is the part of the fleet that holds limits together: a data centre,
+// or, under the empty name, the whole fleet when no data centre is declared.
+func (c *Config) Domain(centre string) string {
+	if len(c.declaration.Centres) == 0 {
+		return ""
+	}
+	return centre
+}
+
+// Witnesses are the instances that vote for the holders of a domain's limits.
+func (c *Config) Witnesses(domain string) []string {
+	if len(c.declaration.Centres) > 0 {
+		return c.declaration.Centres[domain].Witnesses
+	}
+	var names []string
+	for _, m := range c.value.GetReplicas() {
+		names = append(names, m.Instance)
+	}
+	return names
+}
+
+// Revision is the number that the operator gave to this version; 0 when it
+// was not applied as a document.
+func (c *Config) Revision() uint64 { return c.value.GetRevision() }
+
+// Route returns the route with the longest path that matches a request. Among
+// equal paths a route that names the host goes first.
+func (c *Config) Route(host, method, path string) *declarer.Route {
+	whole := path
 	path = strings.TrimRight(path, "/")
+	host = strings.ToLower(host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
 	for {
-		for _, r := range c.routes[path] {
-			if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
-				return r
+		for _, at := range []place{{host, path}, {"", path}} {
+			for _, r := range c.routes[at] {
+				if r.Exact && !strings.HasPrefix(whole, r.Path) {
+					continue
+				}
+				if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+					return r
+				}
 			}
 		}
 		if path == "" {
@@ -93,6 +144,9 @@
 
 // Idempotent tells whether running a request twice does no harm.
 func Idempotent(r *declarer.Route, method string) bool {
+	if r.Unsafe {
+		return r.Idempotent
+	}
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
 		return true
@@ -102,15 +156,17 @@
 
 // Enforcer holds the version in force.
 type Enforcer struct {
-	mu      sync.Mutex
-	disk    storer.Disk
-	current atomic.Pointer[Config]
-	hear    []func(*Config)
+	mu        sync.Mutex
+	disk      storer.Disk
+	interpret Interpreter
+	current   atomic.Pointer[Config]
+	hear      []func(*Config)
 }
 
-// Open reads the version that was last in force; disk may be nil.
-func Open(disk storer.Disk) (*Enforcer, error) {
-	e := &Enforcer{disk: disk}
+// Open reads the version that was last in force; disk and interpret may be
+// nil.
+func Open(disk storer.Disk, interpret Interpreter) (*Enforcer, error) {
+	e := &Enforcer{disk: disk, interpret: interpret}
 	e.current.Store(&Config{value: &control.Value{}, declaration: &declarer.Declaration{}})
 	if disk == nil {
 		return e, nil
@@ -126,7 +182,7 @@
 	if err := proto.Unmarshal(raw, value); err != nil {
 		return nil, fmt.Errorf("decode chosen value: %w", err)
 	}
-	c, err := NewConfig(value)
+	c, err := NewConfig(value, e.interpret)
 	if err != nil {
 		return nil, err
 	}
@@ -151,7 +207,7 @@
 	if value.GetVersion() <= e.Current().Version() {
 		return false, nil
 	}
-	c, err := NewConfig(value)
+	c, err := NewConfig(value, e.interpret)
 	if err != nil {
 		return false, err
 	}
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -40,7 +40,7 @@
 }
 
 func priorityOf(x *Exchange) admitter.Priority {
-	return admitter.NewPriority(x.hop.Important, x.hop.Depth > 0, x.hop.Root)
+	return admitter.NewPriority(x.hop.Rank, x.hop.Call, x.hop.Root)
 }
 
 // setLevel tells the node before this one how many hashes out of 256 would be
--- a/pkg/forwarder/answer.go
+++ b/pkg/forwarder/answer.go
@@ -65,6 +65,10 @@
 	for name, values := range a.header {
 		h[name] = values
 	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
 	x.writer.WriteHeader(a.status)
 	if a.rest == nil {
 		if _, err := x.writer.Write(a.content); err != nil && x.request.Method != http.MethodHead && bodyAllowed(a.status) {
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/pkg/router"
 )
@@ -23,7 +25,7 @@
 // Serve implements Filter.
 func (d *deliverFilter) Serve(x *Exchange, _ func(*Exchange)) {
 	f := d.forwarder
-	ctx, cancel := context.WithCancelCause(x.Context())
+	ctx, cancel := context.WithCancelCause(d.context(x))
 	defer cancel(context.Canceled)
 	flight := &Flight{ctx: ctx, id: f.newID(), hop: x.hop, budget: x.budget, deadline: x.deadline, began: d.now()}
 	f.flights.add(flight)
@@ -32,51 +34,74 @@
 		f.flights.remove(flight)
 		x.ticket.Done(flight.callTime(), shed)
 	}()
-	left := x.left(d.now())
-	if x.streamed {
-		left += streamAllowance
-	}
-	timer := time.AfterFunc(left, func() { cancel(errDeadline) })
-	watch := &sent{}
+	timer := time.AfterFunc(x.left(d.now())+x.allowance(), func() { cancel(errDeadline) })
 	faulter.Reach(faulter.HopDelivering)
-	response, err := f.deps.TargetLink.RoundTrip(d.request(watch.watch(ctx), x, flight))
+	delivery := d.delivery(x, flight)
+	owns := func(r *http.Response) bool { return f.deps.Dialect.Owns(r, delivery) }
+	response, err := f.deps.TargetLink.Do(ctx, x.target.Address, d.request(x, delivery), owns)
 	timer.Stop()
 	if err != nil {
 		shed = errors.Is(context.Cause(ctx), errDeadline)
-		d.fail(x, watch, context.Cause(ctx), flight)
+		d.fail(x, err, context.Cause(ctx), flight)
 		return
 	}
 	faulter.Reach(faulter.HopAnswered)
-	shed = effectOf(response.StatusCode) == router.Shed && !flight.hadRefusal()
-	d.pass(x, flight, response, cancel)
+	verdict := f.deps.Dialect.Judge(response, delivery)
+	shed = verdict == Declined || effectOf(response.StatusCode) == router.Shed && !flight.hadRefusal()
+	d.pass(x, flight, response, verdict, cancel)
+}
+
+// context bounds the work of the target. Work that cannot be repeated goes on
+// when its caller leaves: its effect may still be wanted, and stopping it
+// would leave it half done.
+func (d *deliverFilter) context(x *Exchange) context.Context {
+	if x.hop.Idempotent {
+		return x.Context()
+	}
+	return context.WithoutCancel(x.Context())
 }
 
 func (d *deliverFilter) now() time.Time { return d.forwarder.deps.Clock.Now() }
 
-func (d *deliverFilter) request(ctx context.Context, x *Exchange, flight *Flight) *http.Request {
+func (d *deliverFilter) delivery(x *Exchange, flight *Flight) *Delivery {
+	return &Delivery{
+		ID: x.hop.Id, Call: flight.id, Team: x.hop.Team, Caller: x.hop.Caller,
+		Target: x.target.Life, Left: x.left(d.now()),
+	}
+}
+
+func (d *deliverFilter) request(x *Exchange, delivery *Delivery) *http.Request {
 	body, length := x.nextBody()
 	header := x.request.Header.Clone()
 	header.Del("Expect")
-	header.Set(HeaderCall, flight.id)
-	header.Set(HeaderTimeout, strconv.FormatInt(millisecondsUp(x.left(d.now())), 10))
-	header.Set("Primrose-Team", x.hop.Team)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = noAgent
+	}
+	d.forwarder.deps.Dialect.Deliver(header, delivery)
 	r := &http.Request{
 		Method: x.request.Method, Host: x.request.Host, Header: header, Body: body, ContentLength: length,
 		URL:   &url.URL{Scheme: "http", Host: x.target.Address, Path: x.request.URL.Path, RawPath: x.request.URL.RawPath, RawQuery: x.request.URL.RawQuery},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	once(r)
-	return r.WithContext(ctx)
+	if length == 0 {
+		r.Body = nil
+	}
+	return r
 }
 
+// noAgent keeps net/http from naming itself where the caller named nothing.
+var noAgent = []string{""}
+
 // fail answers for a target that did not, and looks whether it has crashed.
-func (d *deliverFilter) fail(x *Exchange, watch *sent, cause error, flight *Flight) {
+func (d *deliverFilter) fail(x *Exchange, err, cause error, flight *Flight) {
 	f := d.forwarder
 	setLevel(x, f.deps.Admitter.Level(), flight.heardLevel())
+	var broken *connector.Error
+	sent := !errors.As(err, &broken) || broken.Sent
 	switch {
-	case !watch.any() && errors.Is(cause, errDeadline):
+	case !sent && errors.Is(cause, errDeadline):
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent"))
-	case !watch.any():
+	case !sent:
 		f.deps.Suspect(x.target)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetWait, "the target cannot be reached"))
 	case errors.Is(cause, errDeadline):
@@ -89,26 +114,58 @@
 		f.deps.Suspect(x.target)
 		x.refuse(lost(http.StatusBadGateway, "the target's connection broke before the answer came"))
 	}
+	d.log(x, "error", err.Error())
+}
+
+func (d *deliverFilter) log(x *Exchange, more ...any) {
+	d.forwarder.logHop(x, d.now(), more...)
 }
 
 // pass sends the answer back with what the nodes upstream need to know.
-func (d *deliverFilter) pass(x *Exchange, flight *Flight, r *http.Response, cancel context.CancelCauseFunc) {
+func (d *deliverFilter) pass(x *Exchange, flight *Flight, r *http.Response, verdict Verdict, cancel context.CancelCauseFunc) {
 	f := d.forwarder
 	removeOwn(r.Header)
+	setLevel(x, f.deps.Admitter.Level(), flight.heardLevel())
+	switch verdict {
+	case Declined, Misdirected:
+		if verdict == Misdirected {
+			f.deps.Misdirected(x.target)
+		}
+		discard(r)
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDeclined, noTargetWait, "the target says that it has not run the request"))
+		d.log(x, "status", r.StatusCode)
+		return
+	case Unsound:
+		r.Body.Close()
+		x.refuse(lost(http.StatusBadGateway, "the target's answer is not sound"))
+		d.log(x, "status", r.StatusCode)
+		return
+	}
 	answer, err := readAnswer(r)
 	if err != nil {
 		f.flights.broke(x.hop.Digest, d.now())
 		f.deps.Suspect(x.target)
 		x.refuse(lost(http.StatusBadGateway, "the target's answer ended early"))
+		d.log(x, "error", err.Error())
 		return
 	}
 	answer.abort = func() { cancel(context.Canceled) }
 	x.setRetries()
-	setLevel(x, f.deps.Admitter.Level(), flight.heardLevel())
+	d.log(x, "status", r.StatusCode)
 	answer.write(x)
 	f.deps.Completed(x.hop.Digest)
 }
 
+// discard reads a short body that nobody needs, so that its connection can be
+// used again.
+func discard(r *http.Response) {
+	if r.ContentLength >= 0 && r.ContentLength <= wholeBody {
+		// An error closes the connection, which is all that is left to do.
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	r.Body.Close()
+}
+
 // setRetries gives the unused part of the retries back with the answer.
 func (x *Exchange) setRetries() {
 	x.writer.Header().Set(headerRetries, strconv.FormatUint(uint64(x.budget.Close()), 10))
@@ -117,7 +174,7 @@
 // setLevel sets the header that tells the node before this one how many
 // hashes out of 256 are refused for requests like this one, here or below.
 func setLevel(x *Exchange, own admitter.Priority, below int) {
-	base := admitter.NewPriority(x.hop.Important, x.hop.Depth > 0, 0)
+	base := admitter.NewPriority(x.hop.Rank, x.hop.Call, 0)
 	level := min(max(int(own)-int(base), below, 0), hashes)
 	x.writer.Header().Set(headerLevel, strconv.Itoa(level))
 }
--- a/pkg/forwarder/door_filter.go
+++ b/pkg/forwarder/door_filter.go
@@ -18,7 +18,7 @@
 
 // Serve implements Filter.
 func (d *doorFilter) Serve(x *Exchange, next func(*Exchange)) {
-	if x.parent != nil {
+	if x.hop.Call {
 		next(x)
 		return
 	}
@@ -28,10 +28,10 @@
 	pass := 1 - min(f.levels.get(key, now), hashes-probes)/hashes
 	pass = f.shares.arrive(key, x.hop.Team, pass, now)
 	// Hashes are kept from the top, as at the services further down.
-	hash := float64(admitter.NewPriority(false, false, x.hop.Root))
+	hash := float64(admitter.NewPriority(0, false, x.hop.Root))
 	if hash < hashes*(1-pass) {
 		f.count("refused_door")
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, doorWait, "service %s, or one that it calls, is overloaded", x.route.Service))
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, doorWait, "service %s, or one that it calls, is overloaded", x.hop.Service))
 		return
 	}
 	next(x)
@@ -39,14 +39,14 @@
 
 // levelKey tells levels apart: what a service refuses depends on the route of
 // the root request, since that decides which other services take part, and on
-// the importance.
+// the rank.
 type levelKey struct {
 	service, route string
-	important      bool
+	rank           uint32
 }
 
 func levelKeyOf(x *Exchange) levelKey {
-	return levelKey{x.hop.Service, x.hop.Route, x.hop.Important}
+	return levelKey{x.hop.Service, x.hop.Route, x.hop.Rank}
 }
 
 const (
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -61,6 +61,13 @@
 	ticket   *admitter.Ticket
 	// answered tells that an answer has begun.
 	answered bool
+	// placements counts the nodes that refused the request, sends those that
+	// it was sent to.
+	placements, sends int
+	// dialect writes refusals to callers.
+	dialect Dialect
+	// told logs a refusal on the entry node; nil once the end was logged.
+	told func(*Exchange, *Refusal)
 }
 
 // Context is the context of the request.
@@ -74,8 +81,24 @@
 	x.answered = true
 	if x.atTarget {
 		x.setRetries()
+		r.write(x.writer)
+		return
 	}
-	r.write(x.writer)
+	if x.told != nil {
+		x.told(x, r)
+	}
+	x.dialect.Refuse(x.writer, r)
+}
+
+// streamAllowance is added to the deadline of a request with a long body that
+// declares no objective; the body itself is guarded by its progress.
+const streamAllowance = 24 * time.Hour
+
+func (x *Exchange) allowance() time.Duration {
+	if x.streamed && x.hop.Objective == 0 {
+		return streamAllowance
+	}
+	return 0
 }
 
 // left is the time until the deadline.
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/faulter"
@@ -50,8 +51,17 @@
 	Claimer    *deduplicator.Claimer
 	Router     *router.Router
 	Admitter   *admitter.Admitter
-	// Link reaches other nodes, TargetLink the own target.
-	Link, TargetLink http.RoundTripper
+	// Dialect is how callers and targets speak.
+	Dialect Dialect
+	// Link reaches other nodes, at addresses with LinkScheme.
+	Link       http.RoundTripper
+	LinkScheme string
+	// TargetLink reaches the own target.
+	TargetLink *connector.Connector
+	// Service is that of the own target; it may be empty.
+	Service func() string
+	// Misdirected hears that another target answered at an address.
+	Misdirected func(*Target)
 	// Targets lists the targets of a service that take new work.
 	Targets func(service string) []*control.Entry
 	// Target is the own target, or nil.
@@ -77,6 +87,7 @@
 	levels  levels
 	shares  shares
 	flights flights
+	splits  splits
 	entry   func(*Exchange)
 	hop     func(*Exchange)
 }
@@ -115,7 +126,7 @@
 	if f.deps.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &Exchange{writer: w, request: r, config: f.deps.Config.Current(), began: f.deps.Clock.Now(), hop: newHop()}
+	x := &Exchange{writer: w, request: r, config: f.deps.Config.Current(), began: f.deps.Clock.Now(), hop: newHop(), dialect: f.deps.Dialect, told: f.logRefusal}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	x.request = r.WithContext(ctx)
--- a/pkg/forwarder/forwarder_test.go
+++ b/pkg/forwarder/forwarder_test.go
@@ -16,7 +16,7 @@
 func TestDoorIsFairToTeams(t *testing.T) {
 	var s shares
 	now := time.Unix(0, 0)
-	key := levelKey{"tracker", "lookup", false}
+	key := levelKey{"tracker", "lookup", 1}
 	passed := map[string]float64{}
 	for i := range 20000 {
 		now = now.Add(time.Millisecond)
@@ -37,7 +37,7 @@
 func TestLevelFades(t *testing.T) {
 	var l levels
 	now := time.Unix(0, 0)
-	key := levelKey{"tracker", "lookup", false}
+	key := levelKey{"tracker", "lookup", 1}
 	for range 50 {
 		l.report(key, 200, now)
 	}
--- a/pkg/forwarder/key_filter.go
+++ b/pkg/forwarder/key_filter.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
 )
 
 // keyFilter finds the team of the caller's key. The key is looked up with
@@ -21,9 +23,23 @@
 		return
 	}
 	x.hop.Team = team
+	x.hop.Rank = k.rank(x, team)
 	next(x)
 }
 
+// rank orders the request under overload. A call whose parent is not known
+// ranks highest: work was done for it already.
+func (k *keyFilter) rank(x *Exchange, team string) uint32 {
+	if x.hop.Call {
+		return declarer.MaxRank
+	}
+	t, ok := x.config.Declaration().Teams[team]
+	if !ok {
+		return declarer.Rank(nil, x.route)
+	}
+	return declarer.Rank(&t, x.route)
+}
+
 func (k *keyFilter) team(x *Exchange) (string, *Refusal) {
 	if x.keyHash == nil {
 		return "", refuse(http.StatusUnauthorized, ReasonKey, 0, "this route needs a key; send it as Authorization: Bearer KEY")
--- a/pkg/forwarder/links.go
+++ b/pkg/forwarder/links.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/dialer"
 )
 
 const (
@@ -37,8 +39,7 @@
 }
 
 func dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, network, address)
+	c, err := dialer.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -54,15 +55,6 @@
 	}
 }
 
-// NewTargetLink makes the transport to the own target, with a bound on its
-// connections.
-func NewTargetLink(connections int) *http.Transport {
-	return &http.Transport{
-		DialContext: dialCounted, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
-	}
-}
-
 // sent watches whether a byte of a request has gone out.
 type sent struct {
 	conn  atomic.Pointer[countedConn]
--- a/pkg/forwarder/rate_filter.go
+++ b/pkg/forwarder/rate_filter.go
@@ -14,7 +14,7 @@
 
 // Serve implements Filter.
 func (r *rateFilter) Serve(x *Exchange, next func(*Exchange)) {
-	if x.parent != nil || x.hop.Team == "" {
+	if x.hop.Call || x.hop.Team == "" || x.config.Declaration().Teams[x.hop.Team].Free {
 		next(x)
 		return
 	}
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -25,6 +25,8 @@
 	HeaderReason = "Primrose-Reason"
 	// HeaderWait carries the milliseconds after which to come back.
 	HeaderWait = "Primrose-Wait"
+	// HeaderID names a request in logs.
+	HeaderID = "Primrose-Id"
 	// HeaderReplay marks the stored answer of an earlier sender.
 	HeaderReplay = "Primrose-Replay"
 
@@ -33,6 +35,9 @@
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
 
+	// headerTeam tells a target which team a request runs for.
+	headerTeam = "Primrose-Team"
+
 	headerIdempotency = "Idempotency-Key"
 )
 
@@ -64,6 +69,9 @@
 	ReasonQuorum   Reason = "quorum"
 	ReasonContact  Reason = "contact"
 	ReasonLost     Reason = "lost"
+	// ReasonDeclined stands for requests that reached a target, which says that
+	// it has not run them.
+	ReasonDeclined Reason = "declined"
 )
 
 // Refusal is a final answer that this system gives in place of a target.
@@ -79,6 +87,11 @@
 // Error implements error.
 func (r *Refusal) Error() string { return fmt.Sprintf("%s (%s): %s", r.Reason, r.Outcome, r.Text) }
 
+// Refuse makes a refusal of a request that was not run.
+func Refuse(status int, reason Reason, format string, args ...any) *Refusal {
+	return refuse(status, reason, 0, format, args...)
+}
+
 func refuse(status int, reason Reason, wait time.Duration, format string, args ...any) *Refusal {
 	return &Refusal{Status: status, Reason: reason, Outcome: NotRun, Wait: wait, Text: fmt.Sprintf(format, args...)}
 }
@@ -105,7 +118,7 @@
 	h.Set(HeaderReason, string(r.Reason))
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
-	wait := spread(r.Wait)
+	wait := r.Spread()
 	if wait > 0 {
 		h.Set(HeaderWait, strconv.FormatInt(wait.Milliseconds(), 10))
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
@@ -124,10 +137,10 @@
 	_, _ = w.Write(text)
 }
 
-// spread returns a time from wait to twice that.
-func spread(wait time.Duration) time.Duration {
-	if wait <= 0 {
+// Spread is when a caller may come back, drawn from Wait to twice that.
+func (r *Refusal) Spread() time.Duration {
+	if r.Wait <= 0 {
 		return 0
 	}
-	return wait + rand.N(wait)
+	return r.Wait + rand.N(r.Wait)
 }
--- a/pkg/forwarder/route_filter.go
+++ b/pkg/forwarder/route_filter.go
@@ -28,13 +28,14 @@
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonContact, time.Second, "this node has just started and does not know the configuration yet"))
 		return
 	}
-	route := x.config.Route(x.request.Method, x.request.URL.Path)
+	route := x.config.Route(x.request.Host, x.request.Method, x.request.URL.Path)
 	if route == nil {
 		x.refuse(refuse(http.StatusNotFound, ReasonRoute, 0, "no route for %s %s", x.request.Method, x.request.URL.Path))
 		return
 	}
 	x.route = route
-	x.hop.Service = route.Service
+	x.hop.Service = r.forwarder.splits.next(route)
+	x.hop.Objective = (time.Duration(route.Objective) * time.Millisecond).Microseconds()
 	x.hop.Idempotent = enforcer.Idempotent(route, x.request.Method)
 	if x.parent != nil {
 		r.inherit(x)
@@ -55,7 +56,7 @@
 func (r *routeFilter) inherit(x *Exchange) {
 	p := x.parent
 	x.hop.Team = p.hop.Team
-	x.hop.Important = p.hop.Important
+	x.hop.Rank = p.hop.Rank
 	x.hop.Depth = p.hop.Depth + 1
 	x.hop.Root = p.hop.Root
 	x.hop.Route = p.hop.Route
@@ -67,7 +68,6 @@
 
 // begin sets up a root request.
 func (r *routeFilter) begin(x *Exchange, route *declarer.Route) {
-	x.hop.Important = route.Important
 	x.hop.Route = route.Name
 	x.hop.Root = uint32(xxhash.Sum64String(r.forwarder.newID()))
 	x.budget = retrier.NewBudget(route.RetryCount())
@@ -85,12 +85,18 @@
 	return a
 }
 
-// setTimeout takes the caller's own timeout; it can only shorten the route's.
-func (x *Exchange) setTimeout(text string) {
+// parseTimeout reads the caller's own timeout in milliseconds; it can only
+// shorten the route's.
+func parseTimeout(text string) time.Duration {
 	ms, err := strconv.ParseInt(text, 10, 64)
-	if err == nil && ms > 0 && ms <= declarer.MaxTimeout {
-		x.deadline = x.began.Add(time.Duration(ms) * time.Millisecond)
+	if err != nil || ms <= 0 || ms > declarer.MaxTimeout {
+		return 0
 	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func formatTimeout(left time.Duration) string {
+	return strconv.FormatInt(millisecondsUp(left), 10)
 }
 
 // newHop makes an empty hop.
--- a/pkg/forwarder/scrub_filter.go
+++ b/pkg/forwarder/scrub_filter.go
@@ -40,31 +40,26 @@
 		x.refuse(refuse(http.StatusMethodNotAllowed, ReasonRequest, 0, "method %s is not served", x.request.Method))
 		return
 	}
-	for _, name := range []string{"Authorization", HeaderKey, HeaderCall, HeaderTimeout, headerIdempotency} {
-		if len(h.Values(name)) > 1 {
-			x.refuse(refuse(http.StatusBadRequest, ReasonRequest, 0, "header %s stands more than once", name))
-			return
-		}
-	}
-	key := callerKey(h)
-	call := h.Get(HeaderCall)
-	timeout := h.Get(HeaderTimeout)
-	removeHeaders(h)
-	if holdsPlain(x.request.URL.Path, key) {
-		x.refuse(refuse(http.StatusBadRequest, ReasonRequest, 0, "the path holds a key; send it in the header Authorization"))
+	message, refusal := s.forwarder.deps.Dialect.Receive(x.request)
+	if refusal != nil {
+		x.refuse(refusal)
 		return
 	}
-	scrubCookies(h, key)
-	scrubHeaders(h, key)
-	scrubQuery(x.request.URL, key)
+	scrubCookies(h, message.Key)
+	scrubHeaders(h, message.Key)
 	x.request.Trailer = nil
-	if key != "" {
-		x.keyHash = hashOf(key)
+	if message.Key != "" {
+		x.keyHash = hashOf(message.Key)
+	}
+	if message.Call != "" {
+		x.parent = s.forwarder.flights.find(message.Call)
 	}
-	if call != "" {
-		x.parent = s.forwarder.flights.find(call)
+	x.hop.Id = message.ID
+	x.hop.Call = x.parent != nil || (message.FromTarget && message.Key == "")
+	x.hop.Caller = s.forwarder.deps.Service()
+	if message.Timeout > 0 {
+		x.deadline = x.began.Add(message.Timeout)
 	}
-	x.setTimeout(timeout)
 	next(x)
 }
 
@@ -86,7 +81,9 @@
 	return ""
 }
 
-func removeHeaders(h http.Header) {
+// RemoveConnectionHeaders removes what concerns only one connection, and
+// every header of our own.
+func RemoveConnectionHeaders(h http.Header) {
 	for _, list := range h.Values("Connection") {
 		for _, name := range strings.Split(list, ",") {
 			h.Del(strings.TrimSpace(name))
@@ -95,10 +92,14 @@
 	for _, name := range connectionHeaders {
 		h.Del(name)
 	}
+	removeOwn(h)
+}
+
+func removeHeaders(h http.Header) {
+	RemoveConnectionHeaders(h)
 	for _, name := range credentialHeaders {
 		h.Del(name)
 	}
-	removeOwn(h)
 }
 
 // removeOwn removes every header of our own.
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -79,6 +79,7 @@
 	if x.parent != nil && unserved(final) {
 		x.parent.noteRefused()
 	}
+	s.forwarder.logEnd(x, a, final, s.now())
 	switch r := final.(type) {
 	case *answered:
 		r.answer.write(x)
@@ -97,15 +98,24 @@
 	return !ok || effectOf(a.answer.status) != router.Good
 }
 
-// mayRetry tells whether another attempt is safe, useful and within both
+// maxPlacements bounds how many nodes are asked for one request. A refusal by
+// a node costs its target nothing.
+const maxPlacements = 3
+
+// mayRetry tells whether another attempt is safe, useful and within all
 // bounds.
 func (s *sendFilter) mayRetry(x *Exchange, a *attempt) bool {
 	if x.touched.Load() || x.left(s.now()) <= 0 || x.Context().Err() != nil || a.target == nil {
 		return false
 	}
 	switch r := a.result.(type) {
+	case *notRun:
+		if r.refusal.Reason != ReasonDeclined {
+			x.placements++
+			return x.placements < maxPlacements
+		}
 	case *answered:
-		if !x.hop.Idempotent || r.answer.status != http.StatusServiceUnavailable {
+		if !x.hop.Idempotent || !worthRetry(r.answer.status) {
 			return false
 		}
 	case *broken:
@@ -116,6 +126,11 @@
 	return s.forwarder.edges.Retry(x.hop.Service) && x.budget.Take()
 }
 
+// worthRetry tells whether another target may do better.
+func worthRetry(status int) bool {
+	return status == http.StatusInternalServerError || status == http.StatusBadGateway || status == http.StatusServiceUnavailable
+}
+
 // attempt is one try at one target.
 type attempt struct {
 	filter *sendFilter
@@ -168,6 +183,7 @@
 	watch := &sent{}
 	part := x.budget.Hand()
 	request := a.request(watch.watch(ctx), x, part)
+	x.sends++
 	response, err := f.deps.Link.RoundTrip(request)
 	timer.Stop()
 	if err != nil {
@@ -183,17 +199,9 @@
 // startTimer bounds the time to the beginning of the answer. For a streamed
 // body the time counts from its end, since it is never cut for its length.
 func (a *attempt) startTimer(x *Exchange, cancel context.CancelCauseFunc) *time.Timer {
-	left := x.left(a.began)
-	if x.streamed {
-		left += streamAllowance
-	}
-	return time.AfterFunc(left, func() { cancel(errDeadline) })
+	return time.AfterFunc(x.left(a.began)+x.allowance(), func() { cancel(errDeadline) })
 }
 
-// streamAllowance is added to the deadline of a request with a long body; the
-// body itself is guarded by its progress.
-const streamAllowance = 24 * time.Hour
-
 func (a *attempt) request(ctx context.Context, x *Exchange, retries uint32) *http.Request {
 	hop := proto.Clone(x.hop).(*control.Hop)
 	hop.Timeout = x.left(a.began).Microseconds()
@@ -206,7 +214,7 @@
 	}
 	r := &http.Request{
 		Method: x.request.Method, Host: x.request.Host, Header: header, Body: body, ContentLength: length,
-		URL:   &url.URL{Scheme: "https", Host: a.target.Address, Path: x.request.URL.Path, RawPath: x.request.URL.RawPath, RawQuery: x.request.URL.RawQuery},
+		URL:   &url.URL{Scheme: a.filter.forwarder.deps.LinkScheme, Host: a.target.Address, Path: x.request.URL.Path, RawPath: x.request.URL.RawPath, RawQuery: x.request.URL.RawQuery},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	once(r)
@@ -238,7 +246,7 @@
 	default:
 		a.result = &broken{refusal: lost(http.StatusBadGateway, "the connection to instance %s broke before the answer came", a.target.Instance)}
 	}
-	a.filter.forwarder.deps.Log.Debug("attempt", "target", a.target.Instance, "error", err)
+	a.filter.forwarder.logAttempt(x, a, err)
 }
 
 // take handles what the target's node has answered.
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -94,6 +94,13 @@
 	return g
 }
 
+// SetSeeds replaces the addresses to join by.
+func (g *Gossiper) SetSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = seeds
+}
+
 // Run ticks until the context ends.
 func (g *Gossiper) Run(ctx context.Context) { g.loop(ctx) }
 
@@ -134,7 +141,14 @@
 }
 
 func (g *Gossiper) put(e *control.Entry, now time.Time) {
-	g.members[e.Instance] = &member{entry: e, since: now}
+	next := &member{entry: e, since: now}
+	if e.State != control.State_STATE_ALIVE {
+		next.silent = now
+		if old, ok := g.members[e.Instance]; ok && !old.silent.IsZero() {
+			next.silent = old.silent
+		}
+	}
+	g.members[e.Instance] = next
 	g.generation++
 }
 
--- a/pkg/gossiper/table.go
+++ b/pkg/gossiper/table.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosewall/primrosewall/pkg/healer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -18,6 +19,8 @@
 	entry *control.Entry
 	// since is when the entry got its state, on this node's clock.
 	since time.Time
+	// silent is when the entry stopped being alive; zero while it is.
+	silent time.Time
 }
 
 // supersedes tells whether entry a says something newer than b. At the same
@@ -97,3 +100,29 @@
 	}
 	return nil
 }
+
+// Replicas lists the disks that nodes have announced, dead nodes included, and
+// since when each node has been out of reach.
+func (g *Gossiper) Replicas() []healer.Replica {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	newest := map[string]*member{}
+	for _, m := range g.members {
+		if !m.entry.Replica {
+			continue
+		}
+		// Two names at one address: the later life is the one that is there.
+		if old, ok := newest[m.entry.Address]; !ok || m.entry.Incarnation > old.entry.Incarnation {
+			newest[m.entry.Address] = m
+		}
+	}
+	var list []healer.Replica
+	for address, m := range newest {
+		r := healer.Replica{Identity: m.entry.Identity, Address: address}
+		if m.entry.State != control.State_STATE_ALIVE {
+			r.Silent = m.silent
+		}
+		list = append(list, r)
+	}
+	return list
+}
--- a/pkg/launcher/launcher.go
+++ b/pkg/launcher/launcher.go
@@ -10,9 +10,11 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/primrosewall/primrosewall/pkg/configurer"
+	"github.com/primrosewall/primrosewall/pkg/recorder"
 	"github.com/primrosewall/primrosewall/pkg/server"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 )
@@ -29,7 +31,8 @@
 usage: primrosed [-settings FILE] [-log LEVEL]
        primrosed -check FILE
 
-Without -settings it is a whole system of one node on loopback.
+Without -settings, and without a file named in the environment variable
+PRIMROSEWALL_CONFIG, it is a whole system of one node on loopback.
 
 `
 
@@ -60,8 +63,18 @@
 	return o, nil
 }
 
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "PRIMROSEWALL_CONFIG"
+
+// memoryPart is the part of the memory bound that the garbage collector aims
+// to stay under; the rest is for stacks of threads and what C code takes.
+const memoryPart = 0.75
+
+// Faces are the interfaces that settings may choose, by name.
+type Faces map[string]*server.Interface
+
 // Main runs the daemon and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, faces Faces, stdout, stderr io.Writer) int {
 	o, err := parse(args, stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitGood
@@ -73,7 +86,7 @@
 	if o.check != "" {
 		return check(o.check, stdout, stderr)
 	}
-	if err := run(o, stderr); err != nil {
+	if err := run(o, faces, stdout); err != nil {
 		fmt.Fprintln(stderr, "primrosed:", err)
 		return exitFail
 	}
@@ -90,20 +103,41 @@
 	return exitGood
 }
 
-func run(o *options, stderr io.Writer) error {
+func run(o *options, faces Faces, stdout io.Writer) error {
 	settings := configurer.Default()
-	if o.settings != "" {
+	file := o.settings
+	if file == "" {
+		file = os.Getenv(settingsVariable)
+	}
+	if file != "" {
 		var err error
-		if settings, err = configurer.Load(o.settings); err != nil {
+		if settings, err = configurer.Load(file); err != nil {
 			return err
 		}
 	}
-	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: o.level}))
-	node, err := server.New(settings, timekeeper.System{}, log)
+	var face *server.Interface
+	if settings.Interface != "" {
+		known, ok := faces[settings.Interface]
+		if !ok {
+			return fmt.Errorf("settings: interface is %q, which is not built into this daemon", settings.Interface)
+		}
+		face = known
+	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory<<20) * memoryPart))
+	}
+	log := recorder.New(stdout)
+	defer log.Close()
+	node, err := server.New(settings, timekeeper.System{}, log.Logger(o.level), face)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	l := &reloader{file: file, node: node, log: log.Logger(o.level), signals: hangup}
+	go l.run(ctx)
 	return node.Run(ctx)
 }
--- a/pkg/limiter/division.go
+++ b/pkg/limiter/division.go
@@ -42,6 +42,10 @@
 		order     uint64
 	}
 	tokens := map[string]float64{}
+	if len(d.Centres) == 0 {
+		tokens[""] = burst
+		return tokens
+	}
 	var quotas []quota
 	left := burst
 	for centre := range d.Centres {
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -90,13 +90,13 @@
 // Renew asks for the leases that this instance holds or should try to hold.
 func (h *Holder) Renew(ctx context.Context) {
 	c := h.config.Current()
-	witnesses := c.Declaration().Centres[h.centre].Witnesses
+	witnesses := c.Witnesses(c.Domain(h.centre))
 	rank := slices.Index(witnesses, h.instance)
 	if rank < 0 {
 		return
 	}
 	for shard := range shardCount {
-		h.renewShard(ctx, shard, witnesses, c.Version(), rank)
+		h.renewShard(ctx, shard, witnesses, c, rank)
 	}
 }
 
@@ -104,9 +104,10 @@
 // when its own vote is free, and one that failed pauses until its votes have
 // run out, each rank for a different time, so that rivals do not block each
 // other.
-func (h *Holder) renewShard(ctx context.Context, shard int, witnesses []string, version uint64, rank int) {
+func (h *Holder) renewShard(ctx context.Context, shard int, witnesses []string, c *enforcer.Config, rank int) {
+	version := c.Version()
 	sent := h.clock.Now()
-	request := &control.LeaseRequest{Name: LeaseName(h.centre, shard), Instance: h.instance, Version: version, Session: h.session}
+	request := &control.LeaseRequest{Name: LeaseName(c.Domain(h.centre), shard), Instance: h.instance, Version: version, Session: h.session}
 	if !h.holdsShard(shard) {
 		if sent.Before(h.retryAt(shard)) {
 			return
@@ -229,7 +230,7 @@
 			former = append(former, f)
 		}
 	}
-	return Effective(c.Declaration(), team, h.centre, former)
+	return Effective(c.Declaration(), team, c.Domain(h.centre), former)
 }
 
 // LearnReached asks other data centres for their versions, as long as a
--- a/pkg/limiter/model_test.go
+++ b/pkg/limiter/model_test.go
@@ -126,7 +126,7 @@
 			version = max(version, int(o.config.Current().Version()))
 		}
 	}
-	i.config, _ = enforcer.Open(nil)
+	i.config, _ = enforcer.Open(nil, nil)
 	f.learn(i, version)
 	i.witness = limiter.NewWitness(f.clock, func() uint64 { return i.config.Current().Version() })
 	i.holder = limiter.NewHolder(f.clock, i.config, &voters{f, i}, i.name, i.centre, i.session)
--- /dev/null
+++ b/pkg/planner/applier.go
@@ -0,0 +1,127 @@
+package planner
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/limiter"
+	"github.com/primrosewall/primrosewall/pkg/replicator"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// rememberApplied is how many applied documents are remembered, so that one
+	// that is sent again is acknowledged again: over a day and a half at the
+	// 2,500 changes a day that the fleet is designed for.
+	rememberApplied = 4096
+	// digestSize is the length of a document's digest, in bytes.
+	digestSize = 12
+	// auditLines bounds the lines of one applied document in the audit trail.
+	auditLines = 8
+)
+
+// BaseError says that a document builds on a revision that is not in force.
+type BaseError struct{ Base, Current uint64 }
+
+// Error implements error.
+func (e *BaseError) Error() string {
+	return fmt.Sprintf("the document builds on revision %d, but revision %d is in force", e.Base, e.Current)
+}
+
+// InvalidError says that a document cannot come into force.
+type InvalidError struct{ Err error }
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "the document is not valid: " + e.Err.Error() }
+
+// Unwrap gives the cause.
+func (e *InvalidError) Unwrap() error { return e.Err }
+
+// Application puts a document into force without a plan: its sender has
+// reviewed it, names the revision that it builds on and chooses the number of
+// the next one, which only has to be higher.
+type Application struct {
+	Base, Revision uint64
+	// Document is kept byte for byte.
+	Document  []byte
+	Interpret enforcer.Interpreter
+	Operator  string
+	// Time in nanoseconds since 1970, for the audit trail.
+	Time int64
+	// Settled tells whether a former division of a limit is over.
+	Settled func(*control.Division) bool
+}
+
+// digest names the application; the same one sent again has the same name.
+func (a *Application) digest() []byte {
+	h := sha256.New()
+	var numbers [16]byte
+	binary.BigEndian.PutUint64(numbers[:8], a.Base)
+	binary.BigEndian.PutUint64(numbers[8:], a.Revision)
+	h.Write(numbers[:])
+	h.Write(a.Document)
+	return h.Sum(nil)[:digestSize]
+}
+
+// Check returns an *InvalidError when the document can never come into force,
+// whatever is in force now.
+func (a *Application) Check() error {
+	_, err := a.Interpret(a.Document)
+	if err != nil {
+		return &InvalidError{Err: err}
+	}
+	return nil
+}
+
+// Update is the compare-and-set for the register. It refuses with a
+// *RepeatError, *BaseError or *InvalidError.
+func (a *Application) Update() replicator.Update {
+	digest := a.digest()
+	return func(current *control.Value) (*control.Value, error) {
+		for _, known := range current.Applied {
+			if bytes.Equal(known, digest) {
+				return nil, &RepeatError{Change: &control.Change{Version: current.Version}}
+			}
+		}
+		if current.Revision != a.Base {
+			return nil, &BaseError{Base: a.Base, Current: current.Revision}
+		}
+		if a.Revision <= current.Revision {
+			return nil, &InvalidError{Err: fmt.Errorf("its revision %d is not above %d, which is in force", a.Revision, current.Revision)}
+		}
+		return a.next(current, digest)
+	}
+}
+
+func (a *Application) next(current *control.Value, digest []byte) (*control.Value, error) {
+	next, err := a.Interpret(a.Document)
+	if err != nil {
+		return nil, &InvalidError{Err: err}
+	}
+	old := &declarer.Declaration{}
+	if len(current.Document) > 0 {
+		if old, err = a.Interpret(current.Document); err != nil {
+			return nil, fmt.Errorf("revision %d, which is in force: %w", current.Revision, err)
+		}
+	}
+	lines := declarer.Diff(old, next)
+	if extra := len(lines) - auditLines; extra > 0 {
+		lines = append(lines[:auditLines:auditLines], fmt.Sprintf("and %d more", extra))
+	}
+	value := successor(current, &control.Change{
+		Id: fmt.Sprintf("%x", digest), Operator: a.Operator, Time: a.Time, Lines: lines,
+	})
+	value.Revision, value.Document, value.Declaration = a.Revision, a.Document, nil
+	value.Applied = append(slices.Clone(current.Applied), digest)
+	if extra := len(value.Applied) - rememberApplied; extra > 0 {
+		value.Applied = value.Applied[extra:]
+	}
+	open := &Confirmation{Settled: a.Settled}
+	value.Divisions = limiter.Former(old, next, open.open(current.Divisions), value.Version)
+	return value, nil
+}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -106,7 +106,7 @@
 			return nil, err
 		}
 		value := successor(current, &control.Change{Id: c.ID, Operator: c.Operator, Time: c.Time, Lines: declarer.Diff(old, next)})
-		value.Declaration = c.Declaration
+		value.Declaration, value.Document = c.Declaration, nil
 		value.Divisions = limiter.Former(old, next, c.open(current.Divisions), value.Version)
 		return value, nil
 	}
@@ -156,6 +156,7 @@
 	return &control.Value{
 		Version: change.Version, Epoch: current.Epoch, Declaration: current.Declaration, Changes: changes,
 		Replicas: current.Replicas, Former: current.Former, Divisions: current.Divisions,
+		Revision: current.Revision, Document: current.Document, Applied: current.Applied,
 	}
 }
 
--- a/pkg/replicator/acceptor.go
+++ b/pkg/replicator/acceptor.go
@@ -59,7 +59,7 @@
 func (a *Acceptor) Identify() *control.IdentifyReply {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &control.IdentifyReply{Identity: a.state.Identity, Epoch: a.state.Epoch, Value: a.state.Value, Accepted: a.state.Accepted}
+	return &control.IdentifyReply{Identity: a.state.Identity, Instance: a.state.Instance, Epoch: a.state.Epoch, Value: a.state.Value, Accepted: a.state.Accepted}
 }
 
 // Prepare promises to refuse lower ballots and returns the accepted value.
--- a/pkg/sealer/sealer.go
+++ b/pkg/sealer/sealer.go
@@ -36,8 +36,16 @@
 	public      ed25519.PublicKey
 	certificate tls.Certificate
 	packets     cipher.AEAD
+	plain       bool
 }
 
+// Plain makes a sealer for a network that is trusted: links have no TLS and
+// datagrams are sent as they are.
+func Plain() *Sealer { return &Sealer{plain: true} }
+
+// IsPlain tells that links have no TLS.
+func (s *Sealer) IsPlain() bool { return s.plain }
+
 // New derives the keys from the secret.
 func New(secret []byte) (*Sealer, error) {
 	seed, err := hkdf.Key(sha256.New, secret, nil, "primrosewall tls", ed25519.SeedSize)
@@ -74,8 +82,11 @@
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, nil
 }
 
-// Server returns the TLS settings of the listener for nodes.
+// Server returns the TLS settings of the listener for nodes; nil for none.
 func (s *Sealer) Server() *tls.Config {
+	if s.plain {
+		return nil
+	}
 	return &tls.Config{
 		MinVersion:       tls.VersionTLS13,
 		Certificates:     []tls.Certificate{s.certificate},
@@ -85,9 +96,12 @@
 	}
 }
 
-// Client returns the TLS settings for connections to other nodes. The check
+// Client returns the TLS settings for connections to other nodes, or nil. The check
 // by name is replaced by the check of the one public key that is right.
 func (s *Sealer) Client() *tls.Config {
+	if s.plain {
+		return nil
+	}
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS13,
 		Certificates:       []tls.Certificate{s.certificate},
@@ -112,6 +126,9 @@
 
 // Seal encrypts one datagram.
 func (s *Sealer) Seal(plain []byte) ([]byte, error) {
+	if s.plain {
+		return plain, nil
+	}
 	nonce := make([]byte, s.packets.NonceSize(), s.packets.NonceSize()+len(plain)+s.packets.Overhead())
 	if _, err := rand.Read(nonce); err != nil {
 		return nil, fmt.Errorf("make nonce: %w", err)
@@ -121,6 +138,9 @@
 
 // Open decrypts one datagram, or returns ErrForged.
 func (s *Sealer) Open(sealed []byte) ([]byte, error) {
+	if s.plain {
+		return sealed, nil
+	}
 	size := s.packets.NonceSize()
 	if len(sealed) < size {
 		return nil, ErrForged
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -29,6 +29,9 @@
 	}
 	if s.folder != nil {
 		list = append(list, &joiner{s}, &reader{server: s}, &copier{server: s}, &historian{s})
+		if s.settings.Heal {
+			list = append(list, newHealer(s))
+		}
 	}
 	return list
 }
@@ -106,16 +109,16 @@
 func (c *joiner) found(ctx context.Context, own *control.IdentifyReply) *control.Value {
 	s := c.server
 	first := s.settings.Replicas
-	if len(first) == 0 || first[0] != s.settings.Peer {
+	if len(first) == 0 || first[0] != s.settings.Peer || !s.founding {
 		return nil
 	}
-	members := []*control.Member{{Identity: own.Identity, Address: s.settings.Peer}}
+	members := []*control.Member{{Identity: own.Identity, Address: s.settings.Peer, Instance: own.Instance}}
 	for _, address := range first[1:] {
 		reply, err := s.caller.Replica(address).Identify(ctx, &control.IdentifyRequest{})
 		if err != nil || reply.Epoch != 0 {
 			return nil
 		}
-		members = append(members, &control.Member{Identity: reply.Identity, Address: address})
+		members = append(members, &control.Member{Identity: reply.Identity, Address: address, Instance: reply.Instance})
 	}
 	return planner.Found(members)
 }
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -83,10 +83,11 @@
 // Ask implements limiter.Holders: it tries the last known holder of the
 // team's shard first, then every witness.
 func (d *directory) Ask(ctx context.Context, centre string, r *control.TokensRequest) (*control.TokensReply, error) {
+	c := d.config.Current()
 	if centre == "" {
-		centre = d.centre
+		centre = c.Domain(d.centre)
 	}
-	witnesses := d.config.Current().Declaration().Centres[centre].Witnesses
+	witnesses := c.Witnesses(centre)
 	shard := limiter.Shard(r.Team)
 	name := limiter.LeaseName(centre, shard)
 	absent := &control.TokensReply{Absent: true}
@@ -117,8 +118,11 @@
 func (d *directory) order(name string, shard int, witnesses []string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(witnesses) == 0 {
+		return nil
+	}
 	first, ok := d.holders[name]
-	if !ok && len(witnesses) > 0 {
+	if !ok {
 		first = witnesses[shard%len(witnesses)]
 	}
 	list := []string{first}
--- a/pkg/server/fetcher.go
+++ b/pkg/server/fetcher.go
@@ -17,12 +17,14 @@
 	caller *caller.Caller
 	config *enforcer.Enforcer
 	offer  func(*control.Value)
+	// whole tells that this node is a replica.
+	whole bool
 
 	wake chan string
 }
 
-func newFetcher(c *caller.Caller, config *enforcer.Enforcer, offer func(*control.Value)) *fetcher {
-	return &fetcher{caller: c, config: config, offer: offer, wake: make(chan string, 4)}
+func newFetcher(c *caller.Caller, config *enforcer.Enforcer, offer func(*control.Value), whole bool) *fetcher {
+	return &fetcher{caller: c, config: config, offer: offer, whole: whole, wake: make(chan string, 4)}
 }
 
 // want notes that the node at address has a version.
@@ -50,12 +52,22 @@
 	}
 }
 
+// fetch asks the node at address, and, when that one does not have all that
+// this node needs, the replicas.
 func (f *fetcher) fetch(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	value, err := f.caller.Peer(address).Fetch(ctx, &control.FetchRequest{})
-	if err != nil || value.Version == 0 {
-		return
+	addresses := []string{address}
+	if f.whole {
+		for _, m := range f.config.Current().Value().Replicas {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	for _, a := range addresses {
+		value, err := f.caller.Peer(a).Fetch(ctx, &control.FetchRequest{Whole: f.whole})
+		if err == nil && value.Version > f.config.Current().Version() {
+			f.offer(value)
+			return
+		}
 	}
-	f.offer(value)
 }
--- /dev/null
+++ b/pkg/server/interface.go
@@ -0,0 +1,150 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/announcer"
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
+	"github.com/primrosewall/primrosewall/pkg/planner"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// Interface is how callers, targets and operators speak to a node in place of
+// the daemon's own way.
+type Interface struct {
+	Dialect forwarder.Dialect
+	// Interpret reads the documents that operators apply.
+	Interpret enforcer.Interpreter
+	// Control makes the handler of the control address.
+	Control func(Controls) http.Handler
+}
+
+// Controls is what a handler of the control address may ask of the node.
+type Controls interface {
+	// Apply puts a document into force. It returns nil when the document was
+	// accepted, now or before, and a *planner.BaseError, *planner.InvalidError
+	// or *UncertainError otherwise.
+	Apply(ctx context.Context, base, revision uint64, document []byte) error
+	// Read returns the newest document, or an *UncertainError when it is not
+	// certain which one that is.
+	Read(ctx context.Context) ([]byte, error)
+	// Replica tells whether this node takes part in the register.
+	Replica() bool
+	// Report takes a report of the own target.
+	Report(r announcer.Report)
+	// End takes the word of the own target that a life of it is gone.
+	End(life string)
+	// Life is that of the own target; empty when there is none.
+	Life() string
+}
+
+// UncertainError says that it is not known whether a change was made, or which
+// document is the newest. The same call may be sent again, to any replica.
+type UncertainError struct{ Err error }
+
+// Error implements error.
+func (e *UncertainError) Error() string { return "not certain, ask again: " + e.Err.Error() }
+
+// Unwrap gives the cause.
+func (e *UncertainError) Unwrap() error { return e.Err }
+
+// controls implements Controls.
+type controls struct{ server *Server }
+
+var errNoReplica = errors.New("this node knows no replicas yet")
+
+// Apply implements Controls.
+func (c *controls) Apply(ctx context.Context, base, revision uint64, document []byte) error {
+	s := c.server
+	a := &planner.Application{
+		Base: base, Revision: revision, Document: document, Interpret: s.face.Interpret,
+		Operator: "operator", Time: time.Now().UnixNano(), Settled: s.settled,
+	}
+	if err := a.Check(); err != nil {
+		s.log.Info("apply", "revision", revision, "base", base, "outcome", "invalid", "error", err.Error())
+		return err
+	}
+	began := s.clock.Now()
+	err := s.apply(ctx, a)
+	outcome := "accepted"
+	if err != nil {
+		outcome = err.Error()
+	}
+	s.log.Info("apply", "revision", revision, "base", base, "bytes", len(document), "outcome", outcome, "took", s.clock.Now().Sub(began))
+	return err
+}
+
+func (s *Server) apply(ctx context.Context, a *planner.Application) error {
+	known := s.config.Current().Value()
+	if known.Version == 0 {
+		return &UncertainError{Err: errNoReplica}
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	_, err := s.proposer.Run(ctx, known, a.Update())
+	var repeat *planner.RepeatError
+	var base *planner.BaseError
+	var invalid *planner.InvalidError
+	switch {
+	case err == nil, errors.As(err, &repeat):
+		return nil
+	case errors.As(err, &base), errors.As(err, &invalid):
+		return err
+	}
+	return &UncertainError{Err: err}
+}
+
+const (
+	// applyTimeout bounds a change, so that its sender can try another replica.
+	applyTimeout = 1500 * time.Millisecond
+	// readTimeout bounds a certain read.
+	readTimeout = 800 * time.Millisecond
+)
+
+// Read implements Controls.
+func (c *controls) Read(ctx context.Context) ([]byte, error) {
+	s := c.server
+	known := s.config.Current().Value()
+	if known.Version == 0 {
+		return nil, &UncertainError{Err: errNoReplica}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	value, err := s.proposer.Run(ctx, known, func(*control.Value) (*control.Value, error) { return nil, nil })
+	if err != nil {
+		return nil, &UncertainError{Err: err}
+	}
+	if len(value.Document) == 0 {
+		return nil, &UncertainError{Err: fmt.Errorf("no document was applied yet")}
+	}
+	return value.Document, nil
+}
+
+// Replica implements Controls.
+func (c *controls) Replica() bool { return c.server.folder != nil }
+
+// Report implements Controls.
+func (c *controls) Report(r announcer.Report) {
+	if r.Address == "" {
+		r.Address = c.server.settings.Target
+	}
+	c.server.announcer.Report(r, c.server.live.Load().Drain.Duration)
+}
+
+// End implements Controls.
+func (c *controls) End(life string) {
+	c.server.announcer.End(life, c.server.live.Load().Drain.Duration)
+}
+
+// Life implements Controls.
+func (c *controls) Life() string {
+	if t := c.server.announcer.Target(); t != nil {
+		return t.Life
+	}
+	return ""
+}
--- a/pkg/server/operator_service.go
+++ b/pkg/server/operator_service.go
@@ -88,7 +88,12 @@
 
 // Replace implements control.Operator.
 func (o *operatorService) Replace(ctx context.Context, r *control.ReplaceRequest) (*control.ProposeReply, error) {
-	s := o.server
+	return o.server.replace(ctx, r, name(ctx))
+}
+
+// replace puts the replica at an address into the set, and returns when it
+// has its votes.
+func (s *Server) replace(ctx context.Context, r *control.ReplaceRequest, operator string) (*control.ProposeReply, error) {
 	joining, err := s.caller.Replica(r.Joining).Identify(ctx, &control.IdentifyRequest{})
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "the joining replica does not answer: "+err.Error())
@@ -101,8 +106,8 @@
 		base = s.config.Current().Version()
 	}
 	replacement := &planner.Replacement{
-		ID: id, Base: base, Leaving: r.Leaving, Operator: name(ctx), Time: s.clock.Now().UnixNano(),
-		Joining: &control.Member{Identity: joining.Identity, Address: r.Joining},
+		ID: id, Base: base, Leaving: r.Leaving, Operator: operator, Time: s.clock.Now().UnixNano(),
+		Joining: &control.Member{Identity: joining.Identity, Address: r.Joining, Instance: joining.Instance},
 	}
 	reply, err := s.propose(ctx, replacement.Update(), id)
 	if err != nil || reply.Refused != "" {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/primrosewall/primrosewall/pkg/auditor"
 	"github.com/primrosewall/primrosewall/pkg/caller"
 	"github.com/primrosewall/primrosewall/pkg/configurer"
+	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/forwarder"
@@ -42,19 +44,29 @@
 	maxHeader = 32 << 10
 	// hopHeader is what the nodes' own headers add to that.
 	hopHeader = 4 << 10
-	// stopMost bounds a planned stop.
+	// stopMost bounds a planned stop without a grace time.
 	stopMost = 10 * time.Minute
+	// graceMargin is kept from the grace time for the end of the process.
+	graceMargin = 400 * time.Millisecond
+	// readyMoves is how long callers take to move away from a node whose
+	// readiness check fails: two checks, a second apart, and their spread.
+	readyMoves = 3 * time.Second
 )
 
 // Server is one node.
 type Server struct {
 	settings *configurer.Settings
-	clock    timekeeper.Clock
-	log      *slog.Logger
-	sealer   *sealer.Sealer
-	started  time.Time
+	// live are the settings with what was reloaded since the start.
+	live    atomic.Pointer[configurer.Settings]
+	clock   timekeeper.Clock
+	log     *slog.Logger
+	face    *Interface
+	sealer  *sealer.Sealer
+	started time.Time
 
-	folder     *storer.Folder
+	folder *storer.Folder
+	// founding tells that this replica may found the fleet.
+	founding   bool
 	acceptor   *replicator.Acceptor
 	store      *deduplicator.Store
 	audit      *auditor.Auditor
@@ -75,21 +87,30 @@
 	announcer *announcer.Announcer
 	admitter  *admitter.Admitter
 	forwarder *forwarder.Forwarder
+	connector *connector.Connector
 
 	metrics  *expvar.Map
+	stopping time.Time
 	draining atomic.Bool
 	isReady  atomic.Bool
 }
 
-// New builds a node from its settings. Nothing listens before Run.
-func New(settings *configurer.Settings, clock timekeeper.Clock, log *slog.Logger) (*Server, error) {
+// New builds a node from its settings. Nothing listens before Run. How callers,
+// targets and operators speak to it comes from face; nil is the daemon's own.
+func New(settings *configurer.Settings, clock timekeeper.Clock, log *slog.Logger, face *Interface) (*Server, error) {
+	if face == nil {
+		face = &Interface{Dialect: forwarder.Native{}}
+	}
 	s := &Server{
-		settings: settings, clock: clock, log: log, started: clock.Now(),
-		quarantine: &quarantiner.Quarantiner{}, metrics: new(expvar.Map),
+		settings: settings, clock: clock, log: log, started: clock.Now(), face: face,
+		quarantine: &quarantiner.Quarantiner{}, metrics: new(expvar.Map), sealer: sealer.Plain(),
 	}
-	var err error
-	if s.sealer, err = sealer.New(settings.SecretBytes()); err != nil {
-		return nil, err
+	s.live.Store(settings)
+	if settings.Links != configurer.LinksPlain {
+		var err error
+		if s.sealer, err = sealer.New(settings.SecretBytes()); err != nil {
+			return nil, err
+		}
 	}
 	if err := s.openState(); err != nil {
 		return nil, err
@@ -103,17 +124,24 @@
 func (s *Server) openState() error {
 	var disk storer.Disk
 	if s.settings.Data != "" {
-		folder, err := storer.Open(s.settings.Data, s.settings.Instance)
+		open := storer.Open
+		if s.settings.Found {
+			open = storer.OpenFounding
+		}
+		folder, err := open(s.settings.Data, s.settings.Instance)
 		if err != nil {
 			return err
 		}
+		if s.founding, err = folder.Founding(); err != nil {
+			return err
+		}
 		s.folder, disk = folder, folder
 		if err := s.openReplica(folder); err != nil {
 			return err
 		}
 	}
 	var err error
-	if s.config, err = enforcer.Open(disk); err != nil {
+	if s.config, err = enforcer.Open(disk, s.face.Interpret); err != nil {
 		return err
 	}
 	s.withdrawn, err = withdrawer.Open(disk)
@@ -144,11 +172,14 @@
 func (s *Server) buildState() {
 	life := randomName()
 	s.caller = caller.New(s.sealer.Client())
-	s.fetcher = newFetcher(s.caller, s.config, s.offer)
+	s.fetcher = newFetcher(s.caller, s.config, s.offer, s.folder != nil)
 	s.source = &source{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, fail: s.fail}
 	self := &control.Entry{
 		Instance: s.settings.Instance, Centre: s.settings.Centre, Address: s.settings.Peer,
-		Incarnation: uint64(s.started.Unix()), Replica: s.folder != nil,
+		Incarnation: uint64(s.started.UnixMilli()), Replica: s.folder != nil,
+	}
+	if s.folder != nil {
+		self.Identity = s.folder.Identity()
 	}
 	s.carrier = &carrier{sealer: s.sealer, count: s.metrics.Add}
 	s.gossip = gossiper.New(self, s.seeds(), s.clock, s.carrier, s.source, newRandom())
@@ -167,7 +198,8 @@
 // seeds are the addresses to join by, without the own one.
 func (s *Server) seeds() []string {
 	var list []string
-	for _, address := range append(append([]string(nil), s.settings.Seeds...), s.settings.Replicas...) {
+	live := s.live.Load()
+	for _, address := range append(append([]string(nil), live.Seeds...), live.Replicas...) {
 		if address != s.settings.Peer {
 			list = append(list, address)
 		}
@@ -175,9 +207,17 @@
 	return list
 }
 
+// Reload takes what may change while the node runs from newer settings.
+func (s *Server) Reload(newer *configurer.Settings) {
+	s.live.Store(s.settings.Reload(newer))
+	s.gossip.SetSeeds(s.seeds())
+	s.log.Info("reload", "seeds", s.seeds(), "grace", newer.Grace.Duration, "drain", newer.Drain.Duration)
+}
+
 // buildPath makes the data path.
 func (s *Server) buildPath() {
 	s.admitter = admitter.New(s.clock, ruleOf(s.settings.Rule))
+	s.connector = connector.New(s.clock)
 	claimer := deduplicator.NewClaimer(s.clock, s.caller, func() (uint64, []*control.Member) {
 		v := s.config.Current().Value()
 		return v.Epoch, v.Replicas
@@ -187,16 +227,37 @@
 		Limiter: s.spender, Claimer: claimer, Admitter: s.admitter, Metrics: s.metrics,
 		Router:     router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom()),
 		Link:       forwarder.NewLink(s.sealer.Client()),
-		TargetLink: forwarder.NewTargetLink(s.settings.Connections),
-		Targets:    s.directory.targets,
-		Target:     func() *forwarder.Target { return s.announcer.Target() },
-		Ready:      s.ready, InContact: s.inContact,
+		LinkScheme: s.linkScheme(), Dialect: s.face.Dialect,
+		TargetLink:  s.connector,
+		Service:     s.ownService,
+		Misdirected: func(t *forwarder.Target) { s.announcer.Misdirected(t) },
+		Targets:     s.directory.targets,
+		Target:      func() *forwarder.Target { return s.announcer.Target() },
+		Ready:       s.ready, InContact: s.inContact,
 		Suspect:   func(t *forwarder.Target) { s.announcer.Suspect(t) },
 		Completed: s.completed, Draining: s.draining.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 }
 
+func (s *Server) linkScheme() string {
+	if s.sealer.IsPlain() {
+		return "http"
+	}
+	return "https"
+}
+
+// ownService is the service of the own target.
+func (s *Server) ownService() string {
+	if s.settings.Service != "" {
+		return s.settings.Service
+	}
+	if t := s.announcer.Target(); t != nil {
+		return t.Service
+	}
+	return ""
+}
+
 func ruleOf(name string) admitter.Rule {
 	switch name {
 	case configurer.RuleGradient:
@@ -223,15 +284,18 @@
 }
 
 // Changed implements announcer.Listener.
-func (s *Server) Changed(t *forwarder.Target, cold bool) {
-	if t != nil {
+func (s *Server) Changed(t *forwarder.Target, cold time.Duration) {
+	if t == nil {
+		s.log.Info("target_gone")
+	} else {
 		s.admitter.Announce(t.Slots, cold)
-		s.log.Info("target", "service", t.Service, "address", t.Address, "slots", t.Slots)
+		s.log.Info("target", "service", t.Service, "address", t.Address, "slots", t.Slots, "life", t.Life, "cold", cold)
 	}
 	s.gossip.Change(func(e *control.Entry) {
-		e.Service, e.Slots = "", 0
+		e.Service, e.Slots, e.Life, e.Cold = "", 0, "", 0
 		if t != nil && !s.draining.Load() {
-			e.Service, e.Slots = t.Service, uint32(t.Slots)
+			e.Service, e.Slots, e.Life = t.Service, uint32(t.Slots), t.Life
+			e.Cold = uint32(max(cold, 0).Milliseconds())
 		}
 	})
 }
@@ -270,10 +334,11 @@
 
 // inContact tells whether a replica was heard of within the set bound.
 func (s *Server) inContact() bool {
-	if s.settings.Contact == 0 || s.folder != nil {
+	contact := s.live.Load().Contact
+	if contact == 0 || s.folder != nil {
 		return true
 	}
-	bound := time.Duration(s.settings.Contact) * time.Second
+	bound := time.Duration(contact) * time.Second
 	last := s.gossip.ReplicaHeard()
 	if last.IsZero() {
 		last = s.started
@@ -288,19 +353,10 @@
 		return err
 	}
 	s.carrier.conn = udp.conn
-	peer, err := s.listen(s.settings.Peer, s.peerHandler(), true)
+	listeners, err := s.listenAll()
 	if err != nil {
 		return err
 	}
-	entry, err := s.listen(s.settings.Listen, s.forwarder, false)
-	if err != nil {
-		return err
-	}
-	admin, err := s.listen(s.settings.Admin, s.adminHandler(), false)
-	if err != nil {
-		return err
-	}
-	listeners := []*listener{entry, peer, admin}
 	for _, l := range listeners {
 		go l.run()
 	}
@@ -311,15 +367,58 @@
 		group.start(inner, c)
 	}
 	s.log.Info("start", "instance", s.settings.Instance, "centre", s.settings.Centre, "listen", s.settings.Listen,
-		"peer", s.settings.Peer, "admin", s.settings.Admin, "data", s.settings.Data, "version", s.config.Current().Version())
+		"peer", s.settings.Peer, "admin", s.settings.Admin, "control", s.settings.Control, "links", s.settings.Links,
+		"data", s.settings.Data, "version", s.config.Current().Version())
 	<-ctx.Done()
 	s.stop(listeners)
 	cancel()
 	group.Wait()
-	s.log.Info("stop", "instance", s.settings.Instance)
+	s.log.Info("stop", "instance", s.settings.Instance, "took", s.clock.Now().Sub(s.stopping))
 	return nil
 }
 
+// listenAll opens the listeners that the settings name, the one for callers
+// first.
+func (s *Server) listenAll() ([]*listener, error) {
+	plans := []struct {
+		address string
+		handler http.Handler
+		secure  bool
+	}{
+		{s.settings.Listen, s.forwarder, false},
+		{s.settings.Peer, s.peerHandler(), !s.sealer.IsPlain()},
+		{s.settings.Admin, s.adminHandler(), false},
+		{s.settings.Ready, http.HandlerFunc(s.serveReady), false},
+		{s.settings.Metrics, http.HandlerFunc(s.serveMetrics), false},
+	}
+	if s.face.Control != nil {
+		plans = append(plans, struct {
+			address string
+			handler http.Handler
+			secure  bool
+		}{s.settings.Control, s.face.Control(&controls{s}), false})
+	}
+	var listeners []*listener
+	for _, p := range plans {
+		if p.address == "" {
+			continue
+		}
+		l, err := s.listen(p.address, p.handler, p.secure)
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+// serveReady answers the readiness check.
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() || !s.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // group waits for controllers.
 type group struct{ sync.WaitGroup }
 
@@ -343,8 +442,13 @@
 // and until the requests are through, then closes the listeners.
 func (s *Server) stop(listeners []*listener) {
 	s.log.Info("drain", "instance", s.settings.Instance)
+	s.stopping = s.clock.Now()
 	s.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), stopMost)
+	most := stopMost
+	if grace := s.live.Load().Grace.Duration; grace > 0 {
+		most = grace - min(graceMargin, grace/4)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
 	s.gossip.Change(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
 	if err := s.announcer.Drain(ctx); err != nil {
@@ -353,6 +457,13 @@
 	if s.announcer.Target() == nil {
 		<-s.clock.After(announcer.Spread)
 	}
+	if s.settings.Ready != "" && s.settings.Listen != "" {
+		// Callers move away once the readiness check has failed twice.
+		select {
+		case <-s.clock.After(readyMoves - s.clock.Now().Sub(s.stopping)):
+		case <-ctx.Done():
+		}
+	}
 	for _, l := range listeners {
 		if err := l.server.Shutdown(ctx); err != nil {
 			s.fail("shutdown", err)
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -90,8 +90,19 @@
 }
 
 // Fetch implements control.Peer.
-func (p *peerService) Fetch(context.Context, *control.FetchRequest) (*control.Value, error) {
-	return p.server.config.Current().Value(), nil
+func (p *peerService) Fetch(_ context.Context, r *control.FetchRequest) (*control.Value, error) {
+	value := p.server.config.Current().Value()
+	if r.Whole && value.Brief {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this instance does not have the whole value")
+	}
+	if r.Whole || value.Brief {
+		return value, nil
+	}
+	// What only the register uses stays with the replicas.
+	return &control.Value{
+		Version: value.Version, Epoch: value.Epoch, Declaration: value.Declaration, Replicas: value.Replicas,
+		Former: value.Former, Divisions: value.Divisions, Revision: value.Revision, Document: value.Document, Brief: true,
+	}, nil
 }
 
 // Withdraw implements control.Peer.
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -147,3 +147,31 @@
 	}
 	return nil
 }
+
+// foundingFile marks a folder that was made by a start that may found a fleet.
+const foundingFile = "founding"
+
+// OpenFounding is Open for a start that may found a fleet. The mark of that
+// goes before the identity, so that a start that is killed halfway is made good
+// by later ones.
+func OpenFounding(path, instance string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, &Error{Path: path, Op: "create", Err: err}
+	}
+	f := &Folder{path: path}
+	if _, err := f.Read(ownerFile); errors.Is(err, fs.ErrNotExist) {
+		if err := f.Write(foundingFile, []byte(instance)); err != nil {
+			return nil, err
+		}
+	}
+	return Open(path, instance)
+}
+
+// Founding tells whether a start that may found a fleet made this folder.
+func (f *Folder) Founding() (bool, error) {
+	_, err := f.Read(foundingFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	return err == nil, err
+}
--- a/pkg/timekeeper/timekeeper.go
+++ b/pkg/timekeeper/timekeeper.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock tells the time and wakes sleepers.
@@ -15,11 +17,26 @@
 	After(d time.Duration) <-chan time.Time
 }
 
-// System is the machine's clock. The zero value works.
+// System is the machine's clock. The zero value works. Its time goes on while
+// the machine is suspended, which the steady clock of the runtime does not
+// count, and does not follow jumps of the time of day.
 type System struct{}
 
 // Now implements Clock.
-func (System) Now() time.Time { return time.Now() }
+func (System) Now() time.Time { return started.Add(sinceBoot() - bootAtStart) }
+
+// started and bootAtStart tie the two clocks together once.
+var started, bootAtStart = time.Now().Round(0), sinceBoot()
+
+// sinceBoot is the time since the machine was started, suspension included.
+func sinceBoot() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// Every Linux since 2.6.39 has this clock.
+		panic("clock of the time since boot: " + err.Error())
+	}
+	return time.Duration(now.Nano())
+}
 
 // After implements Clock.
 func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
--- /dev/null
+++ b/test/boundary_test.go
@@ -0,0 +1,73 @@
+package test
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// wireNames are names of the users' platform. They stand in platform/, deploy/
+// and docs/PLATFORM.md only.
+var wireNames = regexp.MustCompile(`Instances\.(Heartbeat|Deregister)|Config\.(Put|Get)|Base-Version|Expected-Instance|Deadline-Ms|` +
+	`Not-Executed|Response-Signature|Caller-Service|cold_remaining|traffic_split|path_prefix|target_latency|rate_per_s|api_keys|` +
+	`control_plane|app_address|internal_ports|heartbeat_address`)
+
+// TestPlatformNamesStayInTheirFolder reads every source file and page.
+func TestPlatformNamesStayInTheirFolder(t *testing.T) {
+	self := "boundary_test.go"
+	walk(t, func(path string, text []byte) {
+		inside := strings.HasPrefix(path, "platform/") || strings.HasPrefix(path, "deploy/") || path == "docs/PLATFORM.md" ||
+			strings.HasPrefix(path, "docs/incidents/")
+		if inside || filepath.Base(path) == self {
+			return
+		}
+		qt.Check(t, string(wireNames.Find(text)), qt.Equals, "", qt.Commentf("%s", path))
+	})
+}
+
+// TestProductDoesNotImportPlatform checks the direction of imports.
+func TestProductDoesNotImportPlatform(t *testing.T) {
+	walk(t, func(path string, text []byte) {
+		if !strings.HasSuffix(path, ".go") || strings.HasPrefix(path, "cmd/") || strings.HasPrefix(path, "platform/") {
+			return
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, text, parser.ImportsOnly)
+		qt.Assert(t, err, qt.IsNil)
+		for _, imported := range file.Imports {
+			qt.Check(t, strings.HasSuffix(strings.Trim(imported.Path.Value, `"`), "/platform"), qt.IsFalse, qt.Commentf("%s", path))
+		}
+	})
+}
+
+// walk gives every source file and page of the repository to check.
+func walk(t *testing.T, check func(path string, text []byte)) {
+	root := os.DirFS("..")
+	seen := 0
+	for _, pattern := range []string{"*.md", "*/*.go", "*/*/*.go", "*/*/*/*.go", "docs/*.md", "docs/*/*.md", "platform/*", "deploy/*"} {
+		paths, err := filepath.Glob(filepath.Join("..", pattern))
+		qt.Assert(t, err, qt.IsNil)
+		for _, path := range paths {
+			relative, err := filepath.Rel("..", path)
+			qt.Assert(t, err, qt.IsNil)
+			file, err := root.Open(filepath.ToSlash(relative))
+			qt.Assert(t, err, qt.IsNil)
+			info, err := file.Stat()
+			file.Close()
+			qt.Assert(t, err, qt.IsNil)
+			if info.IsDir() {
+				continue
+			}
+			text, err := os.ReadFile(path)
+			qt.Assert(t, err, qt.IsNil)
+			check(filepath.ToSlash(relative), text)
+			seen++
+		}
+	}
+	qt.Assert(t, seen > 100, qt.IsTrue)
+}
