Limits: nodes get rates for some seconds, which outlive the holder

Change: where limits are held whole, a holder grants nodes a rate in proportion to their demand, for 8 s; the bucket fills with the rest. A new holder asks all nodes what they hold, and counts those that are silent at the most that one is granted. Without grant and holder a node uses its part of the tolerance in the settings. Retries: a node's part of the fleet's budget, divided by depth.

--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -74,6 +74,8 @@
 	Suspect func(*Target)
 	// Completed hears of every request that a target has answered.
 	Completed func(digest []byte)
+	// Retries bounds what this node may send again.
+	Retries func() retrier.Bounds
 	// Draining tells that the node is about to stop.
 	Draining func() bool
 	// Metrics counts events; it may be nil.
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -45,7 +45,7 @@
 		x.parent.beginCall(s.now())
 		defer func() { x.parent.endCall(s.now()) }()
 	}
-	s.forwarder.edges.First(x.hop.Service)
+	s.forwarder.edges.First(x.hop.Service, s.forwarder.deps.Retries())
 	tried := map[string]bool{}
 	var maybeRun *broken
 	for {
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -37,12 +37,18 @@
 	demand  float64
 	asked   float64
 	askedAt time.Time
+	grants  grants
+	// granted is the rate that nodes may have been using since at.
+	granted float64
+	// silent of so many nodes may hold grants of former holders until then.
+	silent, nodes int
+	silentUntil   time.Time
 }
 
 // newBucket makes a bucket that is empty at opens and fills from then on. The
 // time until it is first asked counts too: nothing was handed out in it.
 func newBucket(opens time.Time, part Part) *bucket {
-	return &bucket{at: opens, part: part, batches: map[uint64]*batch{}, askedAt: opens}
+	return &bucket{at: opens, part: part, batches: map[uint64]*batch{}, askedAt: opens, grants: grants{}}
 }
 
 // outstanding counts the tokens that may still be spent.
@@ -69,6 +75,15 @@
 	}
 	b.grow(now)
 	b.part = part
+	b.grants.drop(now)
+	b.granted = b.grantedNow(now)
+}
+
+// room is the most that the level may be: what may still be spent elsewhere
+// takes from the burst.
+func (b *bucket) room() float64 {
+	_, saved, _ := b.grants.sums("")
+	return b.part.Burst - b.outstanding() - saved
 }
 
 func (b *bucket) nextExpiry() (uint64, *batch) {
@@ -84,10 +99,10 @@
 // grow fills the bucket until a time at which no batch has expired yet.
 func (b *bucket) grow(to time.Time) {
 	if to.After(b.at) {
-		b.level += b.part.Rate * to.Sub(b.at).Seconds()
+		b.level += math.Max(0, b.part.Rate-b.granted) * to.Sub(b.at).Seconds()
 		b.at = to
 	}
-	b.level = math.Max(0, math.Min(b.level, b.part.Burst-b.outstanding()))
+	b.level = math.Max(0, math.Min(b.level, b.room()))
 }
 
 // report takes what became of batches; the bucket must be refilled up to now,
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,11 @@
 	// HolderVersion asks the holder of a shard in another data centre for the
 	// version that it has in force; 0 when there is none.
 	HolderVersion(ctx context.Context, centre, team string) uint64
+	// Holdings asks all nodes what they hold of a shard, and counts those that
+	// do not answer.
+	Holdings(ctx context.Context, shard int) (statements []Statement, silent int)
+	// Nodes counts the nodes that may ask for grants.
+	Nodes() int
 }
 
 // shardCount is the number of leases of a data centre. It never changes, so
@@ -54,9 +60,11 @@
 	versions map[int]uint64
 	// opens is when the buckets of a shard begin to fill: tokens that a former
 	// holder handed out have expired by then.
-	opens   map[int]time.Time
-	buckets map[string]*bucket
-	nextID  uint64
+	opens map[int]time.Time
+	// inherited is what is known of the grants of a shard's former holder.
+	inherited map[int]*inheritance
+	buckets   map[string]*bucket
+	nextID    uint64
 	// reached is the version that each data centre is known to have in force
 	// for a team.
 	reached map[string]uint64
@@ -68,7 +76,7 @@
 		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session,
 		// Batches of a former life must not be taken for those of this one.
 		nextID: session << batchBits,
-		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
+		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, inherited: map[int]*inheritance{}, versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
 	}
 }
 
@@ -118,7 +126,9 @@
 		}
 	}
 	if h.countVotes(ctx, witnesses, request) > len(witnesses)/2 {
-		h.hold(shard, sent, version)
+		if h.hold(shard, sent, version) && c.Domain(h.centre) == "" {
+			h.inherit(ctx, shard)
+		}
 		return
 	}
 	h.mu.Lock()
@@ -163,17 +173,33 @@
 }
 
 // hold notes the lease, counted from when the first vote was asked for. After
-// a gap, or at first, all buckets of the shard start empty.
-func (h *Holder) hold(shard int, sent time.Time, version uint64) {
+// a gap, or at first, all buckets of the shard start empty, and it returns
+// true.
+func (h *Holder) hold(shard int, sent time.Time, version uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	if !now.Before(h.leases[shard]) {
+	fresh := !now.Before(h.leases[shard])
+	if fresh {
 		h.dropShard(shard)
 		h.opens[shard] = now.Add(term + drift)
+		// Until nodes have been asked, any of them may hold anything.
+		h.inherited[shard] = &inheritance{silent: 1, nodes: 1, until: now.Add(hold + drift)}
 	}
 	h.leases[shard] = sent.Add(leaseTerm - leaseDrift)
 	h.versions[shard] = version
+	return fresh
+}
+
+// inherit asks all nodes what they hold from former holders of a shard.
+func (h *Holder) inherit(ctx context.Context, shard int) {
+	statements, silent := h.voters.Holdings(ctx, shard)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := h.inherited[shard]
+	i.statements, i.silent, i.nodes = statements, silent, len(statements)+silent
+	// Buckets that were made meanwhile took the worst for granted.
+	h.dropShard(shard)
 }
 
 func (h *Holder) dropShard(shard int) {
@@ -199,22 +225,37 @@
 	if !now.Before(h.leases[Shard(r.Team)]) {
 		return &control.TokensReply{Absent: true}
 	}
-	if opens := h.opens[Shard(r.Team)]; now.Before(opens) {
+	// Divided limits are small and lent between data centres; only a limit that
+	// is held whole is granted to nodes.
+	granting := c.Domain(h.centre) == ""
+	if opens := h.opens[Shard(r.Team)]; now.Before(opens) && r.Held == 0 {
 		// Nobody is over a rate yet: the lease has just begun.
 		return &control.TokensReply{Absent: true, Wait: uint32(opens.Sub(now).Milliseconds()) + 1}
 	}
 	b, ok := h.buckets[r.Team]
 	if !ok {
 		b = newBucket(h.opens[Shard(r.Team)], h.part(c, r.Team))
+		if granting {
+			h.inherited[Shard(r.Team)].apply(b, r.Team)
+			b.granted = b.grantedNow(now)
+		}
 		h.buckets[r.Team] = b
 	}
 	b.refill(now, h.part(c, r.Team))
 	b.report(r.Spent)
 	h.nextID++
+	var rate float64
+	var holdFor time.Duration
+	if granting && (r.Demand > 0 || r.Held > 0) {
+		holdFor = hold
+		rate = b.grant(now, r, h.voters.Nodes())
+		b.granted = math.Max(b.granted, b.grantedNow(now))
+	}
 	given := b.give(now, h.nextID, r.Count, r.Loan)
 	reply := &control.TokensReply{
 		Count: given, Term: uint32(term.Milliseconds()), Batch: h.nextID,
 		Holder: h.instance, Version: h.versions[Shard(r.Team)],
+		Rate: rate, Hold: uint32(holdFor.Milliseconds()),
 	}
 	if given == 0 {
 		reply.Wait = uint32(b.wait().Milliseconds())
--- a/pkg/limiter/spender.go
+++ b/pkg/limiter/spender.go
@@ -45,6 +45,11 @@
 	askTimeout = 250 * time.Millisecond
 	// refusedFor is how long an empty bucket is not asked again.
 	refusedFor = 5 * time.Millisecond
+	// missedFor is how long a holder out of reach is not asked again.
+	missedFor = 100 * time.Millisecond
+	// leastPatience and mostPatience bound when a refused caller may come back.
+	leastPatience = 300 * time.Millisecond
+	mostPatience  = 4 * time.Second
 	// reportAfter is when unspent tokens are given back.
 	reportAfter = 300 * time.Millisecond
 )
@@ -98,6 +103,26 @@
 	// barred is until when the team is refused without asking.
 	barred time.Time
 	wait   time.Duration
+	// steady is the heat over a longer time, for grants.
+	steady float64
+	// windows counts those that steady was measured over.
+	windows float64
+	// allowed is what the node may admit on its own.
+	allowed allowance
+	// renewed is when a grant was last asked for.
+	renewed time.Time
+	// reserved is used while no holder is in reach.
+	reserved allowance
+	// missed tells that the last ask reached no holder.
+	missed bool
+}
+
+// Limits tells a spender what the configuration in force says of a team.
+type Limits interface {
+	// Limit is that of the whole fleet.
+	Limit(team string) Part
+	// Reserve is the rate that this node may use while it reaches no holder.
+	Reserve(team string) float64
 }
 
 // Spender spends tokens on one node.
@@ -108,16 +133,41 @@
 	instance string
 	centre   string
 	version  func() uint64
+	limits   Limits
+	session  uint64
 
 	mu     sync.Mutex
 	purses map[string]*purse
+	// stated is when a holder of a shard was last told what this node holds.
+	stated [shardCount]time.Time
 }
 
-// NewSpender makes a spender for a node.
-func NewSpender(clock timekeeper.Clock, holders Holders, spread Spread, instance, centre string, version func() uint64) *Spender {
+// Holding tells a new holder what this node holds of a shard. Answers to what
+// was asked of others before no longer raise it.
+func (s *Spender) Holding(shard int) *control.HoldingReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	reply := &control.HoldingReply{Session: s.session}
+	if shard < 0 || shard >= shardCount {
+		return reply
+	}
+	s.stated[shard] = now
+	for team, p := range s.purses {
+		if rate := p.allowed.held(now); Shard(team) == shard && rate > 0 {
+			reply.Held = append(reply.Held, &control.Held{
+				Team: team, Rate: rate, Left: uint32(p.allowed.expiry.Sub(now).Milliseconds()),
+			})
+		}
+	}
+	return reply
+}
+
+// NewSpender makes a spender for a node; session names this life of it.
+func NewSpender(clock timekeeper.Clock, holders Holders, spread Spread, instance, centre string, session uint64, version func() uint64, limits Limits) *Spender {
 	return &Spender{
-		clock: clock, holders: holders, spread: spread, instance: instance, centre: centre,
-		version: version, purses: map[string]*purse{},
+		clock: clock, holders: holders, spread: spread, instance: instance, centre: centre, session: session,
+		version: version, limits: limits, purses: map[string]*purse{},
 	}
 }
 
@@ -128,15 +178,20 @@
 	p := s.purse(team)
 	now := s.clock.Now()
 	p.warm(now)
+	if p.allowed.take(now, s.limits.Limit(team).Rate) {
+		s.renew(ctx, team, p, now)
+		s.mu.Unlock()
+		return nil
+	}
 	if p.take(now) {
 		s.restock(ctx, team, p, now)
 		s.mu.Unlock()
 		return nil
 	}
 	if now.Before(p.barred) {
-		wait := p.wait
+		err := s.barredError(team, p, now)
 		s.mu.Unlock()
-		return &RateError{Team: team, Wait: wait}
+		return err
 	}
 	granted := make(chan error, 1)
 	p.waiting = append(p.waiting, granted)
@@ -150,6 +205,59 @@
 	}
 }
 
+// barredError refuses without asking, or takes from the reserve.
+func (s *Spender) barredError(team string, p *purse, now time.Time) error {
+	if p.missed && s.takeReserve(team, p, now) {
+		return nil
+	}
+	return &RateError{Team: team, Wait: p.wait, Unreachable: p.missed}
+}
+
+func (s *Spender) takeReserve(team string, p *purse, now time.Time) bool {
+	rate := s.limits.Reserve(team)
+	if rate != p.reserved.rate {
+		p.reserved.set(now, rate, now, rate)
+	}
+	p.reserved.expiry = now.Add(hold)
+	return p.reserved.take(now, rate)
+}
+
+const (
+	// renewPause is the time between two requests for a grant.
+	renewPause = 1200 * time.Millisecond
+	// renewSoon is that time while the demand is soonFactor times what is held.
+	renewSoon  = 300 * time.Millisecond
+	soonFactor = 1.5
+	// steadyWeight is that of the newest window in the steady heat.
+	steadyWeight = 0.15
+	// leastSteady is the heat, in requests per second, from which a node asks
+	// for a grant.
+	leastSteady = 0.4
+	// demandFactor and demandExtra leave room for a rise until the next renewal.
+	demandFactor = 1.25
+	demandExtra  = 0.5
+)
+
+// demand is the rate that the node would like to be granted.
+func (s *Spender) demand(p *purse) float64 {
+	if _, ok := s.spread.(ByHeat); !ok || p.steady < leastSteady {
+		return 0
+	}
+	return p.steady*demandFactor + demandExtra
+}
+
+// renew asks for a grant when it is time to.
+func (s *Spender) renew(ctx context.Context, team string, p *purse, now time.Time) {
+	demand, held := s.demand(p), p.allowed.held(now)
+	pause := renewPause
+	if demand > held*soonFactor {
+		pause = renewSoon
+	}
+	if now.Sub(p.renewed) >= pause && (demand > 0 || held > 0) {
+		s.startAsk(ctx, team, p)
+	}
+}
+
 func (s *Spender) purse(team string) *purse {
 	p, ok := s.purses[team]
 	if !ok {
@@ -167,6 +275,8 @@
 		return
 	}
 	p.heat += heatWeight * (p.counted/age.Seconds() - p.heat)
+	p.windows++
+	p.steady += max(steadyWeight, 1/p.windows) * (p.counted/age.Seconds() - p.steady)
 	p.counted, p.countedAt = 0, now
 }
 
@@ -202,6 +312,7 @@
 	if now.Before(p.barred) {
 		return
 	}
+	s.renew(ctx, team, p, now)
 	// An empty purse also reports at once, so that the bucket fills again.
 	if left := p.left(); left == 0 || left*2 < s.ahead(p) {
 		s.startAsk(ctx, team, p)
@@ -216,7 +327,8 @@
 	case Everywhere:
 		return everywhereBatch
 	}
-	return uint32(math.Min(p.heat*stockTime.Seconds(), maxBatch))
+	beyond := math.Max(0, p.heat-p.allowed.held(s.clock.Now()))
+	return uint32(math.Min(beyond*stockTime.Seconds(), maxBatch))
 }
 
 // wanted is how many tokens to ask for. When several requests wait the team is
@@ -281,7 +393,11 @@
 	a.wanted = s.wanted(a.purse)
 	request := &control.TokensRequest{
 		Instance: s.instance, Centre: s.centre, Team: a.team, Count: a.wanted, Version: s.version(), Loan: centre != "",
-		Spent: a.purse.takeReports(centre, sent),
+		Spent: a.purse.takeReports(centre, sent), Session: s.session,
+	}
+	if centre == "" {
+		a.purse.renewed = sent
+		request.Demand, request.Held = s.demand(a.purse), a.purse.allowed.held(sent)
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -297,6 +413,15 @@
 		}
 		return nil, &RateError{Team: a.team, Wait: wait, Unreachable: true}
 	}
+	if reply.Hold > 0 {
+		s.mu.Lock()
+		if sent.Before(s.stated[Shard(a.team)]) {
+			// Another holder has been told since what this node holds.
+			reply.Rate = min(reply.Rate, a.purse.allowed.held(s.clock.Now()))
+		}
+		a.purse.allowed.set(s.clock.Now(), reply.Rate, sent.Add(time.Duration(reply.Hold)*time.Millisecond), s.limits.Limit(a.team).Rate)
+		s.mu.Unlock()
+	}
 	if reply.Count > 0 {
 		s.mu.Lock()
 		a.purse.stocks = append(a.purse.stocks, &stock{
@@ -334,9 +459,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := a.purse
-	p.asking = false
+	p.asking, p.missed = false, false
 	now := s.clock.Now()
-	for len(p.waiting) > 0 && p.take(now) {
+	limit := s.limits.Limit(a.team).Rate
+	for len(p.waiting) > 0 && (p.take(now) || p.allowed.take(now, limit)) {
 		p.waiting[0] <- nil
 		p.waiting = p.waiting[1:]
 	}
@@ -349,15 +475,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := a.purse
-	p.asking = false
-	p.wait = wait
-	p.barred = s.clock.Now().Add(min(wait, refusedFor))
+	p.asking, p.missed = false, unreachable
+	now := s.clock.Now()
+	p.wait = max(wait, p.patience(now))
+	pause := refusedFor
+	if unreachable {
+		pause = missedFor
+	}
+	p.barred = now.Add(min(wait, pause))
+	limit := s.limits.Limit(a.team).Rate
 	for _, granted := range p.waiting {
-		granted <- &RateError{Team: a.team, Wait: wait, Unreachable: unreachable}
+		if p.allowed.take(now, limit) {
+			granted <- nil
+			continue
+		}
+		granted <- s.barredError(a.team, p, now)
 	}
 	p.waiting = nil
 }
 
+// patience is when a caller who is refused for the rate may come back: the
+// more of the demand is refused, the later, so that those who return find
+// tokens.
+func (p *purse) patience(now time.Time) time.Duration {
+	held := p.allowed.held(now)
+	if held <= 0 {
+		return leastPatience
+	}
+	over := time.Duration(p.steady / held * float64(leastPatience))
+	return min(max(over, leastPatience), mostPatience)
+}
+
 // Sweep gives back the tokens of teams that have gone quiet.
 func (s *Spender) Sweep(ctx context.Context) {
 	type parcel struct {
@@ -369,6 +517,8 @@
 	now := s.clock.Now()
 	for team, p := range s.purses {
 		p.closeIdle(now)
+		p.cool(now)
+		s.renew(ctx, team, p, now)
 		for centre, reports := range p.reports {
 			parcels = append(parcels, parcel{team, centre, reports})
 		}
@@ -384,6 +534,15 @@
 	}
 }
 
+// cool lets the heat of a team without requests sink.
+func (p *purse) cool(now time.Time) {
+	if now.Sub(p.countedAt) < reportAfter {
+		return
+	}
+	p.counted--
+	p.warm(now)
+}
+
 func (p *purse) closeIdle(now time.Time) {
 	kept := p.stocks[:0]
 	for _, st := range p.stocks {
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -61,12 +61,36 @@
 }
 
 const (
-	// ratio is how many retries each first try allows.
-	ratio = 0.1
-	// reserve is how many retries a quiet edge may send at once.
-	reserve = 10
+	// defaultRatio is how many retries each first try allows where the settings
+	// bound no budget of the fleet.
+	defaultRatio = 0.1
+	// defaultReserve is how many retries a quiet edge may then send at once.
+	defaultReserve = 10
+	// depth is the number of services in a row over which the budget of the
+	// fleet is divided: a call that is made again makes its own calls again,
+	// and these count as retries too.
+	depth = 4
+	// leastReserve lets a quiet edge retry at all.
+	leastReserve = 1.5
 )
 
+// Bounds are what one node may send again towards one service.
+type Bounds struct {
+	// Ratio of retries to first tries.
+	Ratio float64
+	// Reserve is how many retries may be sent at once.
+	Reserve float64
+}
+
+// DefaultBounds are used where the settings bound no budget of the fleet.
+func DefaultBounds() Bounds { return Bounds{Ratio: defaultRatio, Reserve: defaultReserve} }
+
+// Share is one node's part of a budget of the fleet: a ratio of the first
+// tries, and a number of retries beyond it.
+func Share(ratio, slack float64, nodes int) Bounds {
+	return Bounds{Ratio: ratio / depth, Reserve: max(slack/float64(max(nodes, 1))/depth, leastReserve)}
+}
+
 // Edges bounds the retries towards each service by a share of the first
 // tries, so that retries stop before first tries do. The zero value works.
 type Edges struct {
@@ -75,7 +99,7 @@
 }
 
 // First counts a first try.
-func (e *Edges) First(service string) {
+func (e *Edges) First(service string, b Bounds) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.credit == nil {
@@ -83,9 +107,9 @@
 	}
 	c, ok := e.credit[service]
 	if !ok {
-		c = reserve
+		c = b.Reserve
 	}
-	e.credit[service] = min(c+ratio, reserve)
+	e.credit[service] = min(c+b.Ratio, b.Reserve)
 }
 
 // Retry tells whether one more retry may be sent.
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -49,7 +49,7 @@
 	var e retrier.Edges
 	sent := 0
 	for range 1000 {
-		e.First("tracker")
+		e.First("tracker", retrier.DefaultBounds())
 		if e.Retry("tracker") {
 			sent++
 		}
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -23,6 +23,8 @@
 	mu         sync.Mutex
 	generation uint64
 	services   map[string][]*control.Entry
+	// most is the highest number of targets seen at a time.
+	most int
 	// holders remembers who last held a shard, by the name of its lease.
 	holders map[string]string
 }
@@ -33,11 +35,31 @@
 func (d *directory) targets(service string) []*control.Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.refresh()
+	return d.services[service]
+}
+
+func (d *directory) refresh() {
 	if g := d.gossip.Generation(); g != d.generation || d.services == nil {
-		d.services = indexServices(d.gossip.Members())
+		members := d.gossip.Members()
+		d.services = indexServices(members)
 		d.generation = g
+		count := 0
+		for _, e := range members {
+			if !e.Replica {
+				count++
+			}
+		}
+		d.most = max(d.most, count)
 	}
-	return d.services[service]
+}
+
+// size is how many nodes stand beside targets, those out of reach included.
+func (d *directory) size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh()
+	return max(d.most, 1)
 }
 
 func indexServices(entries []*control.Entry) map[string][]*control.Entry {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -188,7 +188,7 @@
 	s.proposer = replicator.NewProposer(s.caller, s.clock, s.settings.Instance+"/"+life, newRandom(), s.offer)
 	s.witness = limiter.NewWitness(s.clock, s.source.Version)
 	s.holder = limiter.NewHolder(s.clock, s.config, s.directory, s.settings.Instance, s.settings.Centre, rand.Uint64())
-	s.spender = limiter.NewSpender(s.clock, s.directory, limiter.ByHeat{}, s.settings.Instance, s.settings.Centre, s.source.Version)
+	s.spender = limiter.NewSpender(s.clock, s.directory, limiter.ByHeat{}, s.settings.Instance, s.settings.Centre, rand.Uint64(), s.source.Version, &limits{s})
 	s.config.Subscribe(func(c *enforcer.Config) {
 		s.log.Info("inforce", "version", c.Version())
 		s.gossip.TellVersion()
@@ -234,8 +234,8 @@
 		Targets:     s.directory.targets,
 		Target:      func() *forwarder.Target { return s.announcer.Target() },
 		Ready:       s.ready, InContact: s.inContact,
-		Suspect:   func(t *forwarder.Target) { s.announcer.Suspect(t) },
-		Completed: s.completed, Draining: s.draining.Load,
+		Suspect: func(t *forwarder.Target) { s.announcer.Suspect(t) },
+		Retries: s.retries, Completed: s.completed, Draining: s.draining.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 }
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -116,6 +116,11 @@
 	return p.server.holder.Tokens(r), nil
 }
 
+// Holding implements control.Peer.
+func (p *peerService) Holding(_ context.Context, r *control.HoldingRequest) (*control.HoldingReply, error) {
+	return p.server.spender.Holding(int(r.Shard)), nil
+}
+
 // Lease implements control.Peer.
 func (p *peerService) Lease(_ context.Context, r *control.LeaseRequest) (*control.LeaseReply, error) {
 	return p.server.witness.Vote(r), nil
