Limits: leases renewed side by side, witnesses open early, dead links found sooner

Five leases were renewed one after the other, each waiting 250 ms for the witness that was cut off, and so lapsed before their next turn; every lapse emptied the buckets. After a loss of all processes a witness abstained for 1.6 s though no lease was left. Sends to nodes behind the cut took 1.5 s to fail, three times, before a target was left out. Change: leases are renewed side by side and counted at the majority; a witness that has started asks all replicas whether they hold leases, which they then also give up asking for; nodes drop old batches when a new holder asks; sent bytes may stay unacknowledged for 0.8 s, and a node out of reach is left out at once.

--- a/pkg/dialer/dialer.go
+++ b/pkg/dialer/dialer.go
@@ -15,8 +15,9 @@
 	// dialTimeout bounds the set-up of a connection: a few round trips between
 	// distant data centres.
 	dialTimeout = 500 * time.Millisecond
-	// silence is how long sent bytes may stay unacknowledged.
-	silence = 1500 * time.Millisecond
+	// silence is how long sent bytes may stay unacknowledged: two repeats of a
+	// lost packet.
+	silence = 800 * time.Millisecond
 	// probeIdle and probeInterval pace the keep-alive probes of an idle
 	// connection, probeCount bounds those without an answer.
 	probeIdle     = time.Second
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -240,10 +241,14 @@
 	case !watch.any() && late:
 		a.result = &notRun{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent")}
 	case !watch.any():
+		a.effect = router.Unreachable
 		a.result = &notRun{refusal: refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetWait, "the node of instance %s cannot be reached", a.target.Instance)}
 	case late:
 		a.result = &broken{refusal: lost(http.StatusGatewayTimeout, "the deadline passed before the answer came")}
 	default:
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			a.effect = router.Unreachable
+		}
 		a.result = &broken{refusal: lost(http.StatusBadGateway, "the connection to instance %s broke before the answer came", a.target.Instance)}
 	}
 	a.filter.forwarder.logAttempt(x, a, err)
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -65,6 +65,8 @@
 	inherited map[int]*inheritance
 	buckets   map[string]*bucket
 	nextID    uint64
+	// denials counts how often this instance has said that it holds no lease.
+	denials uint64
 	// reached is the version that each data centre is known to have in force
 	// for a team.
 	reached map[string]uint64
@@ -103,9 +105,29 @@
 	if rank < 0 {
 		return
 	}
+	var group sync.WaitGroup
 	for shard := range shardCount {
-		h.renewShard(ctx, shard, witnesses, c, rank)
+		n := &renewal{holder: h, shard: shard, witnesses: witnesses, config: c, rank: rank, group: &group}
+		group.Add(1)
+		go n.run(ctx)
 	}
+	group.Wait()
+}
+
+// renewal is the renewal of one lease. Leases are renewed side by side, so that
+// a witness that does not answer holds up none of them.
+type renewal struct {
+	holder    *Holder
+	shard     int
+	witnesses []string
+	config    *enforcer.Config
+	rank      int
+	group     *sync.WaitGroup
+}
+
+func (n *renewal) run(ctx context.Context) {
+	defer n.group.Done()
+	n.holder.renewShard(ctx, n.shard, n.witnesses, n.config, n.rank)
 }
 
 // renewShard tries for a lease. A witness that is not preferred tries only
@@ -125,7 +147,8 @@
 			return
 		}
 	}
-	if h.countVotes(ctx, witnesses, request) > len(witnesses)/2 {
+	denials := h.denied()
+	if h.countVotes(ctx, witnesses, request) > len(witnesses)/2 && h.denied() == denials {
 		if h.hold(shard, sent, version) && c.Domain(h.centre) == "" {
 			h.inherit(ctx, shard)
 		}
@@ -168,10 +191,34 @@
 		if <-granted {
 			count++
 		}
+		if count > len(witnesses)/2 {
+			break
+		}
 	}
 	return count
 }
 
+// Holding tells whether this instance holds a lease, and gives up those that
+// it is asking for: what it says stays true.
+func (h *Holder) Holding() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.denials++
+	now := h.clock.Now()
+	for _, until := range h.leases {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Holder) denied() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.denials
+}
+
 // hold notes the lease, counted from when the first vote was asked for. After
 // a gap, or at first, all buckets of the shard start empty, and it returns
 // true.
@@ -198,6 +245,10 @@
 	defer h.mu.Unlock()
 	i := h.inherited[shard]
 	i.statements, i.silent, i.nodes = statements, silent, len(statements)+silent
+	if silent == 0 && i.nodes > 0 {
+		// Nodes drop the batches of former holders when they are asked.
+		h.opens[shard] = h.clock.Now()
+	}
 	// Buckets that were made meanwhile took the worst for granted.
 	h.dropShard(shard)
 }
--- a/pkg/limiter/spender.go
+++ b/pkg/limiter/spender.go
@@ -154,7 +154,12 @@
 	}
 	s.stated[shard] = now
 	for team, p := range s.purses {
-		if rate := p.allowed.held(now); Shard(team) == shard && rate > 0 {
+		if Shard(team) != shard {
+			continue
+		}
+		// What former holders handed out in batches is not spent any more.
+		p.stocks, p.reports = nil, map[string][]*control.Spent{}
+		if rate := p.allowed.held(now); rate > 0 {
 			reply.Held = append(reply.Held, &control.Held{
 				Team: team, Rate: rate, Left: uint32(p.allowed.expiry.Sub(now).Milliseconds()),
 			})
@@ -418,6 +423,7 @@
 		if sent.Before(s.stated[Shard(a.team)]) {
 			// Another holder has been told since what this node holds.
 			reply.Rate = min(reply.Rate, a.purse.allowed.held(s.clock.Now()))
+			reply.Count = 0
 		}
 		a.purse.allowed.set(s.clock.Now(), reply.Rate, sent.Add(time.Duration(reply.Hold)*time.Millisecond), s.limits.Limit(a.team).Rate)
 		s.mu.Unlock()
--- a/pkg/limiter/witness.go
+++ b/pkg/limiter/witness.go
@@ -43,6 +43,23 @@
 	return &Witness{clock: clock, version: version, opens: clock.Now().Add(leaseTerm + leaseDrift), votes: map[string]*vote{}}
 }
 
+// Open ends the abstention of a witness early: no lease is held that it may
+// have voted for.
+func (w *Witness) Open() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now := w.clock.Now(); now.Before(w.opens) {
+		w.opens = now
+	}
+}
+
+// Abstains tells that the witness does not vote yet.
+func (w *Witness) Abstains() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Now().Before(w.opens)
+}
+
 // Vote grants a lease unless another holder has it, or the asker has an older
 // configuration than a former holder had.
 func (w *Witness) Vote(r *control.LeaseRequest) *control.LeaseReply {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -45,6 +45,8 @@
 	Shed
 	// Failed says that there was no answer.
 	Failed
+	// Unreachable says that the target's node was out of reach.
+	Unreachable
 )
 
 // experience is what this node's requests met at one target.
@@ -174,6 +176,9 @@
 		x.shedAt = now
 	case Failed:
 		x.fail(now)
+	case Unreachable:
+		x.failures = max(x.failures, ejectAfter)
+		x.fail(now)
 	}
 }
 
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -28,7 +28,7 @@
 		s.announcer,
 	}
 	if s.folder != nil {
-		list = append(list, &joiner{s}, &reader{server: s}, &copier{server: s}, &historian{s})
+		list = append(list, &joiner{s}, &reader{server: s}, &copier{server: s}, &historian{s}, &opener{s})
 		if s.settings.Heal {
 			list = append(list, newHealer(s))
 		}
--- /dev/null
+++ b/pkg/server/opener.go
@@ -0,0 +1,45 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// openPeriod is how often a witness that abstains asks whether it must.
+const openPeriod = 150 * time.Millisecond
+
+// opener ends the abstention of a witness that has just started as soon as all
+// replicas, which alone can hold leases here, say that they hold none.
+type opener struct{ server *Server }
+
+// Run implements Controller.
+func (o *opener) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o.server.every(ctx, openPeriod, func(ctx context.Context) {
+		if !o.server.witness.Abstains() || o.step(ctx) {
+			cancel()
+		}
+	})
+}
+
+// step returns true once the witness may vote.
+func (o *opener) step(ctx context.Context) bool {
+	s := o.server
+	c := s.config.Current()
+	replicas := c.Value().GetReplicas()
+	if c.Version() == 0 || c.Domain(s.settings.Centre) != "" || len(replicas) == 0 {
+		return false
+	}
+	for _, m := range replicas {
+		reply, err := s.caller.Peer(m.Address).Probe(ctx, &control.ProbeRequest{Leases: true})
+		if err != nil || reply.Holding || reply.Version > c.Version() {
+			return false
+		}
+	}
+	s.witness.Open()
+	s.log.Info("witness_open", "version", c.Version(), "replicas", len(replicas))
+	return true
+}
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -135,6 +135,10 @@
 }
 
 // Probe implements control.Peer.
-func (p *peerService) Probe(context.Context, *control.ProbeRequest) (*control.ProbeReply, error) {
-	return &control.ProbeReply{Instance: p.server.settings.Instance, Version: p.server.config.Current().Version()}, nil
+func (p *peerService) Probe(_ context.Context, r *control.ProbeRequest) (*control.ProbeReply, error) {
+	reply := &control.ProbeReply{Instance: p.server.settings.Instance, Version: p.server.config.Current().Version()}
+	if r.Leases {
+		reply.Holding = p.server.holder.Holding()
+	}
+	return reply, nil
 }
