Load: calls get their place from their likely parent; the level climbs over ranks

Cause: calls of targets name no parent, so pressure of a deep service ended one hop up, and calls were refused after their parents' work was done. Change: a call's parent is the request in flight with the same deadline; calls with a shorter one of their own are credited to routes that are known to make them. Rank, hash and depth come from the parent, nothing else. Levels travel as absolute priorities and are compared at the door without the paid bit, so that a chain and its deepest service refuse the same hashes. The level moves by parts of one rank, more the longer the shortest wait, and fast down when slots are to spare. A static limit keeps 0.94 of the slots.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -66,7 +66,7 @@
 	a.limit = min(slots, max(a.limit, minLimit))
 	if cold >= 0 {
 		a.since, a.ramp = a.clock.Now(), cold
-		a.limit = slots
+		a.limit = firstLimit(a.rule, slots)
 	}
 	a.fill()
 }
@@ -85,7 +85,7 @@
 	a.mu.Lock()
 	now := a.clock.Now()
 	a.level.step(now, a.serviceTime())
-	a.level.arrive(p)
+	a.level.arrive(p, float64(a.inflight+1)/float64(max(a.allowed(now), 1)))
 	a.dropOld(now)
 	if a.inflight < a.allowed(now) && a.queue.size == 0 {
 		t := a.take(team, now)
@@ -243,7 +243,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.level.step(a.clock.Now(), a.serviceTime())
-	return a.level.value
+	return a.level.value()
 }
 
 // Load is a picture of the admitter for metrics.
@@ -256,5 +256,5 @@
 func (a *Admitter) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Load{Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.value}
+	return Load{Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.value()}
 }
--- a/pkg/admitter/level.go
+++ b/pkg/admitter/level.go
@@ -1,44 +1,64 @@
 package admitter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// window is how often the level moves, or a part of the service time where
-	// that is more: what a step changes shows only after that.
-	window     = 50 * time.Millisecond
-	windowPart = 2
-	// raiseShare is the share of arrivals that one step up refuses more.
-	raiseShare = 0.05
-	// lowerShare is the share that one step down admits more.
-	lowerShare = 0.03
-	// queueTarget is the shortest wait within a window that counts as overload,
+	// levelPeriod is how often the level moves. What a step changes shows only
+	// after the requests that it lets through have come down the chain.
+	levelPeriod = 100 * time.Millisecond
+	// raiseStep is the part of one rank's requests that a step up refuses more
+	// at full pressure, lowerStep the part that a step down admits more.
+	raiseStep = 0.06
+	lowerStep = 0.02
+	// idleStep is that part when the target had slots to spare all the time.
+	idleStep = 0.08
+	// idlePart is the part of the limit in use below which slots are to spare.
+	idlePart = 0.85
+	// waitTarget is the shortest wait within a period that counts as pressure,
 	// or a part of the service time where that is more.
-	queueTarget = 5 * time.Millisecond
-	queuePart   = 4
+	waitTarget = 5 * time.Millisecond
+	waitPart   = 8
+	// waitFull is the wait, in targets, that counts as full pressure.
+	waitFull = 4
+	// hashCount is the number of hashes within a rank.
+	hashCount = 1 << hashBits
 )
 
-// level is the priority below which requests are to be refused at the door.
-// It rises while even the luckiest request of a window had to wait, and sinks
-// otherwise. The step follows the priorities that arrived lately.
+// level is the priority below which requests are better refused at the door.
+// It answers lasting overload: it rises while even the request that had to wait
+// least in a period waited too long, or while requests were refused, and sinks
+// otherwise. It climbs over the hashes of one rank after the other, and only
+// over ranks that arrive here.
 type level struct {
-	value   Priority
-	started time.Time
-	// counts of arrivals by priority, halved in each window.
-	counts [MaxPriority]float32
-	total  float32
-	// known tells which classes have ever arrived; the others are skipped.
-	known [classCount]bool
-	// least wait seen in this window, and whether anything was seen.
+	// ranks that have arrived, in order.
+	ranks []uint32
+	// position counts hashes over those ranks.
+	position float64
+	started  time.Time
+	// least wait seen in this period, and whether anything was seen.
 	least time.Duration
 	seen  bool
-	// refused tells that the window saw a refusal for lack of room.
+	// refused tells that a request was refused for lack of room.
 	refused bool
+	// busiest is the highest part of the limit in use.
+	busiest float64
 }
 
-func (l *level) arrive(p Priority) {
-	l.known[p.class()] = true
-	l.counts[p]++
-	l.total++
+func (l *level) arrive(p Priority, inUse float64) {
+	l.busiest = max(l.busiest, inUse)
+	rank := p.rank()
+	at, known := slices.BinarySearch(l.ranks, rank)
+	if known {
+		return
+	}
+	if float64(at*hashCount) < l.position {
+		// The level stays where it was among the ranks that were known.
+		l.position += hashCount
+	}
+	l.ranks = slices.Insert(l.ranks, at, rank)
 }
 
 func (l *level) waited(d time.Duration) {
@@ -48,46 +68,46 @@
 	l.seen = true
 }
 
-// step moves the level when a window is over.
+// step moves the level when a period is over.
 func (l *level) step(now time.Time, service time.Duration) {
 	if l.started.IsZero() {
 		l.started = now
 	}
-	if now.Sub(l.started) < max(window, service/windowPart) {
+	passed := now.Sub(l.started)
+	if passed < levelPeriod {
 		return
 	}
-	switch {
-	case l.seen && l.least > max(queueTarget, service/queuePart), l.refused:
-		l.raise()
-	default:
-		l.lower()
-	}
-	l.started, l.seen, l.refused = now, false, false
-	l.total = 0
-	for i := range l.counts {
-		l.counts[i] /= 2
-		l.total += l.counts[i]
+	l.position += hashCount * l.move(service)
+	if idle := passed - 2*levelPeriod; idle > 0 {
+		// Nothing arrived for some periods.
+		l.position -= hashCount * idleStep * float64(idle/levelPeriod)
 	}
+	l.position = min(max(l.position, 0), float64(len(l.ranks)*hashCount))
+	l.started, l.seen, l.refused, l.busiest = now, false, false, 0
 }
 
-func (l *level) raise() {
-	want := l.total * raiseShare
-	for l.value < MaxPriority-1 && want > 0 {
-		want -= l.counts[l.value]
-		l.value++
+// move is the step of a period, as a part of one rank's requests.
+func (l *level) move(service time.Duration) float64 {
+	target := max(waitTarget, service/waitPart)
+	switch {
+	case l.refused:
+		return raiseStep
+	case l.seen && l.least > target:
+		return raiseStep * min(1, float64(l.least)/float64(waitFull*target))
+	case l.busiest < idlePart:
+		return -idleStep
 	}
+	return -lowerStep
 }
 
-// lower also crosses priorities that did not arrive because the door already
-// refuses them; they count as the share of one priority among all.
-func (l *level) lower() {
-	want := max(l.total*lowerShare, 1)
-	unseen := max(l.total, 1) / float32(1<<hashBits)
-	for l.value > 0 && want > 0 {
-		l.value--
-		if !l.known[l.value.class()] {
-			continue
-		}
-		want -= max(l.counts[l.value], unseen)
+// value is the level as a priority.
+func (l *level) value() Priority {
+	if l.position < 1 {
+		return 0
+	}
+	at := int(l.position) / hashCount
+	if at >= len(l.ranks) {
+		return NewPriority(l.ranks[len(l.ranks)-1], true, ^uint32(0))
 	}
+	return NewPriority(l.ranks[at], false, 0) + Priority(int(l.position)%hashCount)
 }
--- a/pkg/admitter/priority.go
+++ b/pkg/admitter/priority.go
@@ -24,6 +24,9 @@
 	return p
 }
 
+// rank is that of the request.
+func (p Priority) rank() uint32 { return uint32(p >> (hashBits + 1)) }
+
 // class is the part of the priority that orders the queue; the hash only
 // decides who is refused.
 func (p Priority) class() int { return int(p >> hashBits) }
--- a/pkg/admitter/rule.go
+++ b/pkg/admitter/rule.go
@@ -9,9 +9,13 @@
 // sealed: AIMD and Gradient are all there is, and Static for comparison.
 type Rule interface{ sealedRule() }
 
-// Static keeps the announced slots.
+// Static keeps a part of the announced slots: targets slow down when nearly
+// full, and a new connection may hold a slot for a moment.
 type Static struct{}
 
+// staticPart is that part.
+const staticPart = 0.94
+
 // AIMD adds one slot after a round of good answers and takes a tenth away
 // when the target refuses or times out.
 type AIMD struct {
@@ -64,6 +68,18 @@
 	case *Gradient:
 		return r.learn(s, slots)
 	}
+	return staticLimit(slots)
+}
+
+func staticLimit(slots int) int {
+	return max(min(slots, int(math.Round(staticPart*float64(slots)))), minLimit)
+}
+
+// firstLimit is the limit of a target of which nothing is known yet.
+func firstLimit(rule Rule, slots int) int {
+	if _, ok := rule.(Static); ok {
+		return staticLimit(slots)
+	}
 	return slots
 }
 
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -43,8 +43,7 @@
 	return admitter.NewPriority(x.hop.Rank, x.hop.Call, x.hop.Root)
 }
 
-// setLevel tells the node before this one how many hashes out of 256 would be
-// refused here, or further down, for a request like this one.
+// setLevel tells the node before this one what is better refused at the door.
 func (a *admitFilter) setLevel(x *Exchange) {
 	setLevel(x, a.forwarder.deps.Admitter.Level(), 0)
 }
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -171,10 +171,8 @@
 	x.writer.Header().Set(headerRetries, strconv.FormatUint(uint64(x.budget.Close()), 10))
 }
 
-// setLevel sets the header that tells the node before this one how many
-// hashes out of 256 are refused for requests like this one, here or below.
-func setLevel(x *Exchange, own admitter.Priority, below int) {
-	base := admitter.NewPriority(x.hop.Rank, x.hop.Call, 0)
-	level := min(max(int(own)-int(base), below, 0), hashes)
-	x.writer.Header().Set(headerLevel, strconv.Itoa(level))
+// setLevel tells the node before this one below which priority requests are
+// better refused at the door: by this node, or by what was heard from below.
+func setLevel(x *Exchange, own, below admitter.Priority) {
+	x.writer.Header().Set(headerLevel, strconv.FormatUint(uint64(max(own, below)), 10))
 }
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -36,8 +36,10 @@
 	keyHash []byte
 	route   *declarer.Route
 	parent  *Flight
-	hop     *control.Hop
-	budget  *retrier.Budget
+	// likely is the inferred parent of a call that names none.
+	likely *Flight
+	hop    *control.Hop
+	budget *retrier.Budget
 	// deadline is when the answer must have begun.
 	deadline time.Time
 	// idempotencyKey is set for requests that must be claimed.
--- a/pkg/forwarder/flights.go
+++ b/pkg/forwarder/flights.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/retrier"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -24,7 +25,7 @@
 	running int
 	since   time.Time
 	// level is the highest that a call met further down.
-	level int
+	level admitter.Priority
 	// refused tells that a call was refused or lost.
 	refused bool
 }
@@ -68,13 +69,13 @@
 	return f.calls
 }
 
-func (f *Flight) raiseLevel(level int) {
+func (f *Flight) raiseLevel(level admitter.Priority) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.level = max(f.level, level)
 }
 
-func (f *Flight) heardLevel() int {
+func (f *Flight) heardLevel() admitter.Priority {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.level
@@ -82,8 +83,9 @@
 
 // flights are the requests that the own target is running.
 type flights struct {
-	mu   sync.Mutex
-	byID map[string]*Flight
+	mu    sync.Mutex
+	byID  map[string]*Flight
+	edges edges
 	// failed lists the digests of requests whose connection broke lately.
 	failed []failure
 }
@@ -103,6 +105,7 @@
 		f.byID = map[string]*Flight{}
 	}
 	f.byID[fl.id] = fl
+	f.edges.begin(fl.hop.Arrival)
 }
 
 func (f *flights) remove(fl *Flight) {
@@ -117,6 +120,39 @@
 	return f.byID[id]
 }
 
+// sameDeadline is how far apart the deadlines of a call and of the request
+// that it belongs to may be seen: the time that both take on one machine.
+const sameDeadline = 4 * time.Millisecond
+
+// infer finds the request in flight that a call without an id belongs to. A
+// call ends with its parent, so that their deadlines are equal, unless the
+// call has a shorter one of its own.
+func (f *flights) infer(route string, deadline time.Time) *Flight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best *Flight
+	near := sameDeadline
+	for _, fl := range f.byID {
+		if apart := fl.deadline.Sub(deadline).Abs(); apart < near {
+			best, near = fl, apart
+		}
+	}
+	f.edges.observe(route, best, f.byID)
+	return best
+}
+
+// raise passes on what a call without a known parent met: all requests that
+// may have made it come from routes that make such calls.
+func (f *flights) raise(route string, level admitter.Priority) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fl := range f.byID {
+		if f.edges.likely(fl.hop.Arrival, route) {
+			fl.raiseLevel(level)
+		}
+	}
+}
+
 func (f *flights) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/forwarder/key_filter.go
+++ b/pkg/forwarder/key_filter.go
@@ -27,11 +27,11 @@
 	next(x)
 }
 
-// rank orders the request under overload. A call whose parent is not known
-// ranks highest: work was done for it already.
+// rank orders the request under overload. A call has that of its parent, or
+// the highest: work was done for it already.
 func (k *keyFilter) rank(x *Exchange, team string) uint32 {
 	if x.hop.Call {
-		return declarer.MaxRank
+		return x.hop.Rank
 	}
 	t, ok := x.config.Declaration().Teams[team]
 	if !ok {
--- a/pkg/forwarder/route_filter.go
+++ b/pkg/forwarder/route_filter.go
@@ -35,6 +35,7 @@
 	}
 	x.route = route
 	x.hop.Service = r.forwarder.splits.next(route)
+	x.hop.Arrival = route.Name
 	x.hop.Objective = (time.Duration(route.Objective) * time.Millisecond).Microseconds()
 	x.hop.Idempotent = enforcer.Idempotent(route, x.request.Method)
 	if x.parent != nil {
@@ -42,6 +43,9 @@
 	} else {
 		r.begin(x, route)
 	}
+	if x.hop.Call && x.parent == nil {
+		r.infer(x)
+	}
 	if x.hop.Depth > maxDepth {
 		x.refuse(refuse(http.StatusLoopDetected, ReasonRoute, 0, "the chain of calls is over %d deep", maxDepth))
 		return
@@ -66,6 +70,21 @@
 	context.AfterFunc(p.ctx, x.cancel)
 }
 
+// infer takes from the likely parent of a call what decides its place under
+// overload, and nothing that a wrong guess could do harm with.
+func (r *routeFilter) infer(x *Exchange) {
+	x.hop.Rank = declarer.MaxRank
+	x.likely = r.forwarder.flights.infer(x.route.Name, x.deadline)
+	if x.likely == nil {
+		return
+	}
+	x.hop.Inferred = true
+	x.hop.Rank = x.likely.hop.Rank
+	x.hop.Root = x.likely.hop.Root
+	x.hop.Depth = x.likely.hop.Depth + 1
+	x.hop.Route = x.likely.hop.Route
+}
+
 // begin sets up a root request.
 func (r *routeFilter) begin(x *Exchange, route *declarer.Route) {
 	x.hop.Route = route.Name
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/router"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -260,11 +261,8 @@
 	if left, err := strconv.ParseUint(r.Header.Get(headerRetries), 10, 32); err == nil {
 		x.budget.Return(min(uint32(left), part))
 	}
-	if level, err := strconv.Atoi(r.Header.Get(headerLevel)); err == nil {
-		f.levels.report(levelKeyOf(x), level, a.filter.now())
-		if x.parent != nil {
-			x.parent.raiseLevel(level)
-		}
+	if level, err := strconv.ParseUint(r.Header.Get(headerLevel), 10, 16); err == nil {
+		f.hearLevel(x, admitter.Priority(level), a.filter.now())
 	}
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
@@ -280,6 +278,27 @@
 	}
 }
 
+// hearLevel notes which requests the target's node, or a service that it
+// calls, would rather see refused at the door.
+func (f *Forwarder) hearLevel(x *Exchange, level admitter.Priority, now time.Time) {
+	f.levels.report(levelKeyOf(x), refusedHashes(level, x.hop.Rank), now)
+	switch {
+	case x.parent != nil:
+		x.parent.raiseLevel(level)
+	case x.likely != nil:
+		x.likely.raiseLevel(level)
+	case x.hop.Call:
+		f.flights.raise(x.route.Name, level)
+	}
+}
+
+// refusedHashes is how many of the hashes of root requests are below a level,
+// for requests of a rank at the door. Calls of these requests further down are
+// above it as long as the door can do its part.
+func refusedHashes(level admitter.Priority, rank uint32) int {
+	return min(max(int(level)-int(admitter.NewPriority(rank, false, 0)), 0), hashes)
+}
+
 func (a *attempt) takeAnswer(x *Exchange, r *http.Response) {
 	removeOwn(r.Header)
 	answer, err := readAnswer(r)
