Limits: a silent witness leaves time for the others

The question for tokens went to the known holder first, and the frozen one used up the whole bound of 250 ms each time, so that its follower was never asked. Change: each witness has 80 ms; one that did not answer is forgotten as holder and asked last for two seconds.

--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/caller"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/limiter"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -19,6 +22,7 @@
 	config *enforcer.Enforcer
 	caller *caller.Caller
 	centre string
+	clock  timekeeper.Clock
 
 	mu         sync.Mutex
 	generation uint64
@@ -27,6 +31,8 @@
 	most int
 	// holders remembers who last held a shard, by the name of its lease.
 	holders map[string]string
+	// doubted witnesses did not answer, and when.
+	doubted map[string]time.Time
 }
 
 var errUnknown = errors.New("instance is not known")
@@ -118,7 +124,7 @@
 		if e == nil || e.State == control.State_STATE_DEAD {
 			continue
 		}
-		reply, err := d.caller.Peer(e.Address).Tokens(ctx, r)
+		reply, err := d.askOne(ctx, e.Address, r)
 		if err == nil && !reply.Absent {
 			d.remember(name, instance)
 			return reply, nil
@@ -126,10 +132,38 @@
 		if err == nil && reply.Wait > 0 {
 			absent = reply
 		}
+		if err != nil {
+			d.doubt(name, instance)
+		}
 	}
 	return absent, nil
 }
 
+const (
+	// oneTimeout bounds the question to one witness, so that one that is silent
+	// leaves time for the others.
+	oneTimeout = 80 * time.Millisecond
+	// doubtTime is how long a witness that did not answer is asked last.
+	doubtTime = 2 * time.Second
+)
+
+func (d *directory) askOne(ctx context.Context, address string, r *control.TokensRequest) (*control.TokensReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, oneTimeout)
+	defer cancel()
+	return d.caller.Peer(address).Tokens(ctx, r)
+}
+
+// doubt notes that a witness did not answer, and that it may no longer hold
+// what it was known to hold.
+func (d *directory) doubt(name, instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.holders[name] == instance {
+		delete(d.holders, name)
+	}
+	d.doubted[instance] = d.clock.Now()
+}
+
 func (d *directory) remember(name, instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -153,5 +187,13 @@
 			list = append(list, w)
 		}
 	}
+	now := d.clock.Now()
+	silent := func(w string) int {
+		if at, ok := d.doubted[w]; ok && now.Sub(at) < doubtTime {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(list, func(a, b string) int { return silent(a) - silent(b) })
 	return list
 }
