Metrics as text, log lines for every hop, names of the field

Counters of requests and hops by outcome and reason, events, latency histograms and gauges are served at /metrics of the admin address and on the address of the setting metrics, by the Prometheus client library; /debug/vars stays. Every request on its target's node leaves one line, refusals with their cause. Renamed: purse to token cache, rumour to update, door to entry node.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -238,7 +238,7 @@
 }
 
 // Level is the priority below which the target's node would rather see
-// requests refused at the door.
+// requests refused at the entry.
 func (a *Admitter) Level() Priority {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -13,7 +13,7 @@
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 )
 
-// offer is one request at a door whose queue never moves: the clock stands.
+// offer is one request at a entry whose queue never moves: the clock stands.
 type offer struct {
 	admitter *admitter.Admitter
 	priority admitter.Priority
@@ -42,7 +42,7 @@
 // important and ordinary are two ranks.
 const important, ordinary = 10, 9
 
-// TestImportantIsShedLast fills a door with ordinary and important requests
+// TestImportantIsShedLast fills a entry with ordinary and important requests
 // in drawn orders: as long as an ordinary one waits, no important one is
 // refused.
 func TestImportantIsShedLast(t *testing.T) {
--- a/pkg/admitter/doc.go
+++ b/pkg/admitter/doc.go
@@ -6,5 +6,5 @@
 // the least urgent request gets its refusal at once.
 //
 // A level tells callers upstream which requests would be refused here, so
-// that the door refuses them before work is spent on them.
+// that the entry refuses them before work is spent on them.
 package admitter
--- a/pkg/admitter/level.go
+++ b/pkg/admitter/level.go
@@ -27,7 +27,7 @@
 	hashCount = 1 << hashBits
 )
 
-// level is the priority below which requests are better refused at the door.
+// level is the priority below which requests are better refused at the entry.
 // It answers lasting overload: it rises while even the request that had to wait
 // least in a period waited too long, or while requests were refused, and sinks
 // otherwise. It climbs over the hashes of one rank after the other, and only
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -43,7 +43,7 @@
 	return admitter.NewPriority(x.hop.Rank, x.hop.Call, x.hop.Root)
 }
 
-// setLevel tells the node before this one what is better refused at the door.
+// setLevel tells the node before this one what is better refused at the entry.
 func (a *admitFilter) setLevel(x *Exchange) {
 	setLevel(x, a.forwarder.deps.Admitter.Level(), 0)
 }
--- a/pkg/forwarder/decisions.go
+++ b/pkg/forwarder/decisions.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"strconv"
 	"time"
 )
 
 // logRefusal logs a request that was refused before it was placed.
 func (f *Forwarder) logRefusal(x *Exchange, r *Refusal) {
+	f.observe(x, string(r.Outcome), string(r.Reason), f.deps.Clock.Now())
 	f.deps.Log.Info("refuse", "id", x.hop.Id, "route", x.hop.Route, "team", x.hop.Team, "rank", x.hop.Rank,
 		"reason", r.Reason, "outcome", r.Outcome, "status", r.Status, "wait", r.Wait,
 		"version", x.config.Version(), "revision", x.config.Revision(), "text", r.Text)
@@ -24,10 +26,13 @@
 	switch r := final.(type) {
 	case *answered:
 		attrs = append(attrs, "outcome", "answered", "status", r.answer.status)
+		f.observe(x, "answered", strconv.Itoa(r.answer.status), now)
 	case *notRun:
 		attrs = append(attrs, refusalAttrs(r.refusal)...)
+		f.observe(x, string(r.refusal.Outcome), string(r.refusal.Reason), now)
 	case *broken:
 		attrs = append(attrs, refusalAttrs(r.refusal)...)
+		f.observe(x, string(r.refusal.Outcome), string(r.refusal.Reason), now)
 	}
 	f.deps.Log.Info("request", attrs...)
 }
@@ -42,8 +47,30 @@
 		"error", err.Error())
 }
 
-// logHop logs how a request ended on its target's node.
-func (f *Forwarder) logHop(x *Exchange, now time.Time, more ...any) {
+// observe counts how a request ended on its entry node.
+func (f *Forwarder) observe(x *Exchange, outcome, reason string, now time.Time) {
+	if f.deps.Observer != nil {
+		f.deps.Observer.Request(x.hop.Arrival, x.hop.Team, outcome, reason, now.Sub(x.began))
+	}
+}
+
+// logHopRefusal logs a request that its target has not answered.
+func (f *Forwarder) logHopRefusal(x *Exchange, r *Refusal) {
+	attrs := refusalAttrs(r)
+	if x.cause != nil {
+		attrs = append(attrs, "error", x.cause.Error())
+	}
+	f.logHop(x, string(r.Outcome), string(r.Reason), attrs)
+}
+
+// logHopAnswer logs the answer of the own target.
+func (f *Forwarder) logHopAnswer(x *Exchange, status int) {
+	f.logHop(x, "answered", strconv.Itoa(status), []any{"outcome", "answered", "status", status})
+}
+
+func (f *Forwarder) logHop(x *Exchange, outcome, reason string, more []any) {
+	x.told = nil
+	now := f.deps.Clock.Now()
 	load := f.deps.Admitter.Load()
 	attrs := append([]any{
 		"id", x.hop.Id, "team", x.hop.Team, "rank", x.hop.Rank, "call", x.hop.Call, "took", now.Sub(x.began),
@@ -53,4 +80,7 @@
 		attrs = append(attrs, "life", x.target.Life)
 	}
 	f.deps.Log.Info("hop", attrs...)
+	if f.deps.Observer != nil {
+		f.deps.Observer.Hop(outcome, reason, now.Sub(x.began))
+	}
 }
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -95,6 +95,7 @@
 // fail answers for a target that did not, and looks whether it has crashed.
 func (d *deliverFilter) fail(x *Exchange, err, cause error, flight *Flight) {
 	f := d.forwarder
+	x.cause = err
 	setLevel(x, f.deps.Admitter.Level(), flight.heardLevel())
 	var broken *connector.Error
 	sent := !errors.As(err, &broken) || broken.Sent
@@ -114,11 +115,6 @@
 		f.deps.Suspect(x.target)
 		x.refuse(lost(http.StatusBadGateway, "the target's connection broke before the answer came"))
 	}
-	d.log(x, "error", err.Error())
-}
-
-func (d *deliverFilter) log(x *Exchange, more ...any) {
-	d.forwarder.logHop(x, d.now(), more...)
 }
 
 // pass sends the answer back with what the nodes upstream need to know.
@@ -133,25 +129,23 @@
 		}
 		discard(r)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDeclined, noTargetWait, "the target says that it has not run the request"))
-		d.log(x, "status", r.StatusCode)
 		return
 	case Unsound:
 		r.Body.Close()
 		x.refuse(lost(http.StatusBadGateway, "the target's answer is not sound"))
-		d.log(x, "status", r.StatusCode)
 		return
 	}
 	answer, err := readAnswer(r)
 	if err != nil {
 		f.flights.broke(x.hop.Digest, d.now())
 		f.deps.Suspect(x.target)
+		x.cause = err
 		x.refuse(lost(http.StatusBadGateway, "the target's answer ended early"))
-		d.log(x, "error", err.Error())
 		return
 	}
 	answer.abort = func() { cancel(context.Canceled) }
 	x.setRetries()
-	d.log(x, "status", r.StatusCode)
+	f.logHopAnswer(x, r.StatusCode)
 	answer.write(x)
 	f.deps.Completed(x.hop.Digest)
 }
@@ -172,7 +166,7 @@
 }
 
 // setLevel tells the node before this one below which priority requests are
-// better refused at the door: by this node, or by what was heard from below.
+// better refused at the entry: by this node, or by what was heard from below.
 func setLevel(x *Exchange, own, below admitter.Priority) {
 	x.writer.Header().Set(headerLevel, strconv.FormatUint(uint64(max(own, below)), 10))
 }
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -68,7 +68,9 @@
 	placements, sends int
 	// dialect writes refusals to callers.
 	dialect Dialect
-	// told logs a refusal on the entry node; nil once the end was logged.
+	// cause is why there is no answer of a target.
+	cause error
+	// told logs a refusal; nil once the end was logged.
 	told func(*Exchange, *Refusal)
 }
 
@@ -81,14 +83,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.answered = true
+	if x.told != nil {
+		x.told(x, r)
+	}
 	if x.atTarget {
 		x.setRetries()
 		r.write(x.writer)
 		return
 	}
-	if x.told != nil {
-		x.told(x, r)
-	}
 	x.dialect.Refuse(x.writer, r)
 }
 
--- a/pkg/forwarder/filters.go
+++ b/pkg/forwarder/filters.go
@@ -14,7 +14,7 @@
 		&routeFilter{f},
 		&keyFilter{f},
 		&poisonFilter{f},
-		&doorFilter{f},
+		&shedFilter{f},
 		&rateFilter{f},
 		&claimFilter{f},
 		&sendFilter{f},
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/base64"
-	"expvar"
 	"log/slog"
 	"net/http"
 	"time"
@@ -78,8 +77,16 @@
 	Retries func() retrier.Bounds
 	// Draining tells that the node is about to stop.
 	Draining func() bool
-	// Metrics counts events; it may be nil.
-	Metrics *expvar.Map
+	// Count adds to a counter of events; it may be nil.
+	Count func(name string, delta int64)
+	// Observer counts how requests ended; it may be nil.
+	Observer Observer
+}
+
+// Observer counts how requests ended, and after what time.
+type Observer interface {
+	Request(route, team, outcome, reason string, took time.Duration)
+	Hop(outcome, reason string, took time.Duration)
 }
 
 // Forwarder is the data path of one node.
@@ -103,8 +110,8 @@
 }
 
 func (f *Forwarder) count(name string) {
-	if f.deps.Metrics != nil {
-		f.deps.Metrics.Add(name, 1)
+	if f.deps.Count != nil {
+		f.deps.Count(name, 1)
 	}
 }
 
@@ -149,7 +156,7 @@
 	removeOwn(r.Header)
 	now := f.deps.Clock.Now()
 	x := &Exchange{
-		writer: w, request: r, config: f.deps.Config.Current(), began: now, hop: hop, atTarget: true,
+		writer: w, request: r, config: f.deps.Config.Current(), began: now, hop: hop, atTarget: true, told: f.logHopRefusal,
 		budget: retrier.NewBudget(hop.Retries), deadline: now.Add(time.Duration(hop.Timeout) * time.Microsecond),
 	}
 	if length := r.ContentLength; length < 0 || length > smallBody {
--- a/pkg/forwarder/forwarder_test.go
+++ b/pkg/forwarder/forwarder_test.go
@@ -10,10 +10,10 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestDoorIsFairToTeams asks a door of which a part is open for many requests
+// TestEntryIsFairToTeams asks a entry of which a part is open for many requests
 // of one team and few of another: the small team passes whole, the large one
 // is cut, and together they fill the part that is open.
-func TestDoorIsFairToTeams(t *testing.T) {
+func TestEntryIsFairToTeams(t *testing.T) {
 	var s shares
 	now := time.Unix(0, 0)
 	key := levelKey{"tracker", "lookup", 1}
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -279,7 +279,7 @@
 }
 
 // hearLevel notes which requests the target's node, or a service that it
-// calls, would rather see refused at the door.
+// calls, would rather see refused at the entry.
 func (f *Forwarder) hearLevel(x *Exchange, level admitter.Priority, now time.Time) {
 	f.levels.report(levelKeyOf(x), refusedHashes(level, x.hop.Rank), now)
 	switch {
@@ -293,8 +293,8 @@
 }
 
 // refusedHashes is how many of the hashes of root requests are below a level,
-// for requests of a rank at the door. Calls of these requests further down are
-// above it as long as the door can do its part.
+// for requests of a rank at the entry. Calls of these requests further down are
+// above it as long as the entry node can do its part.
 func refusedHashes(level admitter.Priority, rank uint32) int {
 	return min(max(int(level)-int(admitter.NewPriority(rank, false, 0)), 0), hashes)
 }
--- a/pkg/forwarder/shares.go
+++ b/pkg/forwarder/shares.go
@@ -10,12 +10,12 @@
 // shareTime is the time over which arrivals of teams are averaged.
 const shareTime = time.Second
 
-// shares divides what may pass a door over the teams, by max-min fairness:
+// shares divides what may pass a entry over the teams, by max-min fairness:
 // what a small team does not ask for goes to the others, and no team gets
 // less than an equal part because another asks for more. The zero value works.
 type shares struct {
-	mu    sync.Mutex
-	doors map[levelKey]*arrivals
+	mu      sync.Mutex
+	entries map[levelKey]*arrivals
 }
 
 // arrivals are the requests that teams sent lately, fading away.
@@ -29,13 +29,13 @@
 func (s *shares) arrive(key levelKey, team string, part float64, now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.doors == nil {
-		s.doors = map[levelKey]*arrivals{}
+	if s.entries == nil {
+		s.entries = map[levelKey]*arrivals{}
 	}
-	a, ok := s.doors[key]
+	a, ok := s.entries[key]
 	if !ok {
 		a = &arrivals{teams: map[string]float64{}, at: now}
-		s.doors[key] = a
+		s.entries[key] = a
 	}
 	a.fade(now)
 	a.teams[team]++
--- a/pkg/forwarder/door_filter.go
+++ b/pkg/forwarder/shed_filter.go
@@ -8,16 +8,16 @@
 	"github.com/primrosewall/primrosewall/pkg/admitter"
 )
 
-// doorFilter refuses at the door what a service further down would refuse
+// shedFilter refuses at the entry what a service further down would refuse
 // later, before any work is spent on it. What the services would refuse comes
 // back with their answers. What may pass is divided fairly over the teams.
-type doorFilter struct{ forwarder *Forwarder }
+type shedFilter struct{ forwarder *Forwarder }
 
-// doorWait is when a caller refused at the door may come back.
-const doorWait = 500 * time.Millisecond
+// shedWait is when a caller refused at the entry may come back.
+const shedWait = 500 * time.Millisecond
 
 // Serve implements Filter.
-func (d *doorFilter) Serve(x *Exchange, next func(*Exchange)) {
+func (d *shedFilter) Serve(x *Exchange, next func(*Exchange)) {
 	if x.hop.Call {
 		next(x)
 		return
@@ -30,8 +30,8 @@
 	// Hashes are kept from the top, as at the services further down.
 	hash := float64(admitter.NewPriority(0, false, x.hop.Root))
 	if hash < hashes*(1-pass) {
-		f.count("refused_door")
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, doorWait, "service %s, or one that it calls, is overloaded", x.hop.Service))
+		f.count("refused_shed")
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, shedWait, "service %s, or one that it calls, is overloaded", x.hop.Service))
 		return
 	}
 	next(x)
@@ -50,7 +50,7 @@
 }
 
 const (
-	// probes is how many hashes out of 256 always pass, so that the door hears
+	// probes is how many hashes out of 256 always pass, so that the entry hears
 	// when the services further down have room again.
 	probes = 2
 	// levelWeight is that of the newest report.
--- a/pkg/gossiper/doc.go
+++ b/pkg/gossiper/doc.go
@@ -1,5 +1,5 @@
 // Package gossiper keeps one table of all instances on every node. Changes
-// spread as rumours in small datagrams; probes at a constant rate find dead
+// spread as updates in small datagrams; probes at a constant rate find dead
 // members; a slow comparison of tables by buckets mends whatever was missed.
 //
 // Silence of one peer is not death: other members probe too, a suspect may
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// tick is the pace of rumours.
+	// tick is the pace of updates.
 	tick = 100 * time.Millisecond
 	// probePeriod is the time between two probes that a node sends.
 	probePeriod = time.Second
@@ -28,9 +28,9 @@
 	forgetAfter = 24 * time.Hour
 	// helpers is how many members are asked to probe a silent one.
 	helpers = 3
-	// fanout is how many members get a rumour in each tick.
+	// fanout is how many members get an update in each tick.
 	fanout = 3
-	// spreadFactor times log2 of the fleet is how often a rumour is sent on.
+	// spreadFactor times log2 of the fleet is how often an update is sent on.
 	spreadFactor = 4
 	// packetBytes bounds the entries in one datagram.
 	packetBytes = 1100
@@ -65,7 +65,7 @@
 	random   *rand.Rand
 	self     *control.Entry
 	members  map[string]*member
-	rumours  []*rumour
+	updates  []*update
 	probes   map[uint64]*probe
 	sequence uint64
 	// ring is the order in which members are probed.
@@ -170,10 +170,10 @@
 func (g *Gossiper) setSelf(next *control.Entry) {
 	g.self = next
 	g.put(next, g.clock.Now())
-	g.tell(&rumour{entry: next.Instance})
+	g.tell(&update{entry: next.Instance})
 }
 
-// Tick does what is due: probes, suspicion, rumours.
+// Tick does what is due: probes, suspicion, updates.
 func (g *Gossiper) Tick() {
 	g.mu.Lock()
 	now := g.clock.Now()
@@ -187,7 +187,7 @@
 		g.lastProbe = now
 		out = append(out, g.startProbe(now)...)
 	}
-	out = append(out, g.sendRumours()...)
+	out = append(out, g.sendUpdates()...)
 	g.mu.Unlock()
 	g.send(out)
 }
--- a/pkg/gossiper/probes.go
+++ b/pkg/gossiper/probes.go
@@ -76,7 +76,7 @@
 	next := proto.Clone(m.entry).(*control.Entry)
 	next.State = state
 	g.put(next, now)
-	g.tell(&rumour{entry: next.Instance})
+	g.tell(&update{entry: next.Instance})
 }
 
 // checkSuspects lets suspects die and forgets those long dead.
@@ -106,7 +106,7 @@
 		}
 	}
 	if address := g.lostAddress(); address != "" {
-		packet := g.packet(control.Kind_KIND_RUMOUR, 0)
+		packet := g.packet(control.Kind_KIND_UPDATE, 0)
 		packet.Entries = append(packet.Entries, g.self)
 		out = append(out, letter{address: address, packet: packet})
 	}
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -25,7 +25,7 @@
 	Sync(ctx context.Context, address string, r *control.SyncRequest) (*control.SyncReply, error)
 }
 
-// News is the whole of what rumours carry besides entries.
+// News is the whole of what updates carry besides entries.
 type News interface {
 	// Digest is equal for equal news.
 	Digest() uint64
@@ -45,7 +45,7 @@
 	out := g.answer(p, now)
 	own := g.source.Version()
 	doubted := g.doubted(p.From)
-	if p.Kind == control.Kind_KIND_RUMOUR && (p.Version < own || doubted != nil) {
+	if p.Kind == control.Kind_KIND_UPDATE && (p.Version < own || doubted != nil) {
 		out = append(out, letter{address: p.Address, packet: g.packet(control.Kind_KIND_REPLY, 0)})
 	}
 	// A member that is taken for dead must hear of it to refute.
@@ -116,7 +116,7 @@
 			continue
 		}
 		g.put(e, now)
-		g.tell(&rumour{entry: e.Instance})
+		g.tell(&update{entry: e.Instance})
 	}
 }
 
--- a/pkg/gossiper/rumours.go
+++ b/pkg/gossiper/updates.go
@@ -8,8 +8,8 @@
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
-// rumour is one thing to tell, with how often it is still to be sent.
-type rumour struct {
+// update is one thing to tell, with how often it is still to be sent.
+type update struct {
 	entry     string
 	withdrawn []byte
 	suspect   *control.Suspect
@@ -32,37 +32,37 @@
 
 func (g *Gossiper) tellNews(withdrawn [][]byte, suspects []*control.Suspect) {
 	for _, h := range withdrawn {
-		g.tell(&rumour{withdrawn: h})
+		g.tell(&update{withdrawn: h})
 	}
 	for _, s := range suspects {
-		g.tell(&rumour{suspect: s})
+		g.tell(&update{suspect: s})
 	}
 }
 
-func (g *Gossiper) tell(r *rumour) {
+func (g *Gossiper) tell(r *update) {
 	r.left = g.transmissions()
-	for i, old := range g.rumours {
+	for i, old := range g.updates {
 		if r.entry != "" && old.entry == r.entry {
-			g.rumours[i] = r
+			g.updates[i] = r
 			return
 		}
 	}
-	g.rumours = append(g.rumours, r)
+	g.updates = append(g.updates, r)
 }
 
-// transmissions is how often a rumour is sent on by each node.
+// transmissions is how often an update is sent on by each node.
 func (g *Gossiper) transmissions() int {
 	return spreadFactor * bits.Len(uint(len(g.members)))
 }
 
-// sendRumours sends what is to be told to a few random members.
-func (g *Gossiper) sendRumours() []letter {
-	if len(g.rumours) == 0 && g.spread == 0 {
+// sendUpdates sends what is to be told to a few random members.
+func (g *Gossiper) sendUpdates() []letter {
+	if len(g.updates) == 0 && g.spread == 0 {
 		return nil
 	}
 	var out []letter
 	for _, e := range g.pick(fanout, "") {
-		out = append(out, letter{address: e.Address, packet: g.packet(control.Kind_KIND_RUMOUR, 0)})
+		out = append(out, letter{address: e.Address, packet: g.packet(control.Kind_KIND_UPDATE, 0)})
 	}
 	if len(out) == 0 {
 		return nil
@@ -85,7 +85,7 @@
 	return all[:min(count, len(all))]
 }
 
-// packet fills a packet with as many rumours as fit.
+// packet fills a packet with as many updates as fit.
 func (g *Gossiper) packet(kind control.Kind, sequence uint64) *control.Packet {
 	p := &control.Packet{
 		Kind: kind, Sequence: sequence, From: g.self.Instance,
@@ -95,21 +95,21 @@
 		p.Entries = append(p.Entries, g.self)
 	}
 	size := proto.Size(p)
-	kept := g.rumours[:0]
-	for _, r := range g.rumours {
+	kept := g.updates[:0]
+	for _, r := range g.updates {
 		if size < packetBytes {
-			size += g.addRumour(p, r)
+			size += g.addUpdate(p, r)
 			r.left--
 		}
 		if r.left > 0 {
 			kept = append(kept, r)
 		}
 	}
-	g.rumours = kept
+	g.updates = kept
 	return p
 }
 
-func (g *Gossiper) addRumour(p *control.Packet, r *rumour) int {
+func (g *Gossiper) addUpdate(p *control.Packet, r *update) int {
 	switch {
 	case r.entry != "":
 		m, ok := g.members[r.entry]
--- a/pkg/limiter/spender.go
+++ b/pkg/limiter/spender.go
@@ -31,8 +31,8 @@
 func (Everywhere) sealedSpread() {}
 
 const (
-	// stockTime is the time for which a node asks for tokens ahead.
-	stockTime = 100 * time.Millisecond
+	// aheadTime is the time for which a node asks for tokens ahead.
+	aheadTime = 100 * time.Millisecond
 	// everywhereBatch is the batch of Everywhere.
 	everywhereBatch = 10
 	// maxBatch bounds one batch.
@@ -76,8 +76,8 @@
 	Others(team string) []string
 }
 
-// stock is a batch of tokens from one data centre.
-type stock struct {
+// heldBatch is a batch of tokens from one data centre.
+type heldBatch struct {
 	centre string
 	batch  uint64
 	count  uint32
@@ -86,9 +86,9 @@
 	got    time.Time
 }
 
-// purse is what a node has of one team's tokens.
-type purse struct {
-	stocks []*stock
+// tokenCache is what a node has of one team's tokens.
+type tokenCache struct {
+	batches []*heldBatch
 	// reports by data centre, to be sent with the next request there.
 	reports map[string][]*control.Spent
 	waiting []chan error
@@ -134,7 +134,7 @@
 	session  uint64
 
 	mu     sync.Mutex
-	purses map[string]*purse
+	caches map[string]*tokenCache
 	// stated is when a holder of a shard was last told what this node holds.
 	stated [shardCount]time.Time
 }
@@ -150,12 +150,12 @@
 		return reply
 	}
 	s.stated[shard] = now
-	for team, p := range s.purses {
+	for team, p := range s.caches {
 		if Shard(team) != shard {
 			continue
 		}
 		// What former holders handed out in batches is not spent any more.
-		p.stocks, p.reports = nil, map[string][]*control.Spent{}
+		p.batches, p.reports = nil, map[string][]*control.Spent{}
 		if rate := p.allowed.held(now); rate > 0 {
 			reply.Held = append(reply.Held, &control.Held{
 				Team: team, Rate: rate, Left: uint32(p.allowed.expiry.Sub(now).Milliseconds()),
@@ -169,7 +169,7 @@
 func NewSpender(clock timekeeper.Clock, holders Holders, spread Spread, instance, centre string, session uint64, version func() uint64, limits Limits) *Spender {
 	return &Spender{
 		clock: clock, holders: holders, spread: spread, instance: instance, centre: centre, session: session,
-		version: version, limits: limits, purses: map[string]*purse{},
+		version: version, limits: limits, caches: map[string]*tokenCache{},
 	}
 }
 
@@ -177,7 +177,7 @@
 // only when the node has none left.
 func (s *Spender) Spend(ctx context.Context, team string) error {
 	s.mu.Lock()
-	p := s.purse(team)
+	p := s.cache(team)
 	now := s.clock.Now()
 	p.warm(now)
 	if p.allowed.take(now, s.limits.Limit(team).Rate) {
@@ -208,14 +208,14 @@
 }
 
 // barredError refuses without asking, or takes from the reserve.
-func (s *Spender) barredError(team string, p *purse, now time.Time) error {
+func (s *Spender) barredError(team string, p *tokenCache, now time.Time) error {
 	if p.missed && s.takeReserve(team, p, now) {
 		return nil
 	}
 	return &RateError{Team: team, Wait: p.wait, Unreachable: p.missed}
 }
 
-func (s *Spender) takeReserve(team string, p *purse, now time.Time) bool {
+func (s *Spender) takeReserve(team string, p *tokenCache, now time.Time) bool {
 	rate := s.limits.Reserve(team)
 	if rate != p.reserved.rate {
 		p.reserved.set(now, rate, now, rate)
@@ -238,7 +238,7 @@
 )
 
 // demand is the rate that the node would like to be granted.
-func (s *Spender) demand(p *purse) float64 {
+func (s *Spender) demand(p *tokenCache) float64 {
 	if _, ok := s.spread.(ByHeat); !ok || p.steady < leastSteady {
 		return 0
 	}
@@ -246,7 +246,7 @@
 }
 
 // renew asks for a grant when it is time to.
-func (s *Spender) renew(ctx context.Context, team string, p *purse, now time.Time) {
+func (s *Spender) renew(ctx context.Context, team string, p *tokenCache, now time.Time) {
 	demand, held := s.demand(p), p.allowed.held(now)
 	pause := renewPause
 	if demand > held*soonFactor {
@@ -257,17 +257,17 @@
 	}
 }
 
-func (s *Spender) purse(team string) *purse {
-	p, ok := s.purses[team]
+func (s *Spender) cache(team string) *tokenCache {
+	p, ok := s.caches[team]
 	if !ok {
-		p = &purse{reports: map[string][]*control.Spent{}}
-		s.purses[team] = p
+		p = &tokenCache{reports: map[string][]*control.Spent{}}
+		s.caches[team] = p
 	}
 	return p
 }
 
 // warm measures the heat.
-func (p *purse) warm(now time.Time) {
+func (p *tokenCache) warm(now time.Time) {
 	p.counted++
 	age := now.Sub(p.countedAt)
 	if age < heatWindow {
@@ -280,46 +280,46 @@
 }
 
 // take spends a token that has not expired at this moment.
-func (p *purse) take(now time.Time) bool {
-	for len(p.stocks) > 0 {
-		first := p.stocks[0]
+func (p *tokenCache) take(now time.Time) bool {
+	for len(p.batches) > 0 {
+		first := p.batches[0]
 		if now.Before(first.expiry) && first.spent < first.count {
 			first.spent++
 			return true
 		}
 		p.close(first)
-		p.stocks = p.stocks[1:]
+		p.batches = p.batches[1:]
 	}
 	return false
 }
 
 // close reports a batch from which nothing more will be spent.
-func (p *purse) close(st *stock) {
+func (p *tokenCache) close(st *heldBatch) {
 	p.reports[st.centre] = append(p.reports[st.centre], &control.Spent{Batch: st.batch, Count: st.spent, Closed: true})
 }
 
-func (p *purse) left() uint32 {
+func (p *tokenCache) left() uint32 {
 	sum := uint32(0)
-	for _, st := range p.stocks {
+	for _, st := range p.batches {
 		sum += st.count - st.spent
 	}
 	return sum
 }
 
 // restock asks ahead when a hot team's tokens run low.
-func (s *Spender) restock(ctx context.Context, team string, p *purse, now time.Time) {
+func (s *Spender) restock(ctx context.Context, team string, p *tokenCache, now time.Time) {
 	if now.Before(p.barred) {
 		return
 	}
 	s.renew(ctx, team, p, now)
-	// An empty purse also reports at once, so that the bucket fills again.
+	// An empty cache also reports at once, so that the bucket fills again.
 	if left := p.left(); left == 0 || left*2 < s.ahead(p) {
 		s.startAsk(ctx, team, p)
 	}
 }
 
-// ahead is the number of tokens that the node wants to have in stock.
-func (s *Spender) ahead(p *purse) uint32 {
+// ahead is the number of tokens that the node wants to have ahead.
+func (s *Spender) ahead(p *tokenCache) uint32 {
 	switch s.spread.(type) {
 	case OneHolder:
 		return 0
@@ -327,12 +327,12 @@
 		return everywhereBatch
 	}
 	beyond := math.Max(0, p.heat-p.allowed.held(s.clock.Now()))
-	return uint32(math.Min(beyond*stockTime.Seconds(), maxBatch))
+	return uint32(math.Min(beyond*aheadTime.Seconds(), maxBatch))
 }
 
 // wanted is how many tokens to ask for. When several requests wait the team is
 // getting hot faster than its heat is measured, so it asks for as many again.
-func (s *Spender) wanted(p *purse) uint32 {
+func (s *Spender) wanted(p *tokenCache) uint32 {
 	waiting := uint32(len(p.waiting))
 	ahead := s.ahead(p)
 	if _, ok := s.spread.(ByHeat); ok && waiting > 1 {
@@ -341,12 +341,12 @@
 	return waiting + ahead
 }
 
-func (s *Spender) startAsk(ctx context.Context, team string, p *purse) {
+func (s *Spender) startAsk(ctx context.Context, team string, p *tokenCache) {
 	if p.asking {
 		return
 	}
 	p.asking = true
-	a := &ask{spender: s, team: team, purse: p}
+	a := &ask{spender: s, team: team, cache: p}
 	go a.run(context.WithoutCancel(ctx))
 }
 
@@ -354,7 +354,7 @@
 type ask struct {
 	spender *Spender
 	team    string
-	purse   *purse
+	cache   *tokenCache
 	// wanted is how many tokens the last request asked for.
 	wanted uint32
 }
@@ -384,20 +384,20 @@
 	s.refuse(a, wait, unreachable)
 }
 
-// from asks one data centre and stocks what it gives.
+// from asks one data centre and batches what it gives.
 func (a *ask) from(ctx context.Context, centre string) (*control.TokensReply, error) {
 	s := a.spender
 	s.mu.Lock()
 	sent := s.clock.Now()
-	a.wanted = s.wanted(a.purse)
+	a.wanted = s.wanted(a.cache)
 	request := &control.TokensRequest{
 		Instance: s.instance, Centre: s.centre, Team: a.team, Count: a.wanted, Version: s.version(), Loan: centre != "",
-		Spent: a.purse.takeReports(centre, sent), Session: s.session,
+		Spent: a.cache.takeReports(centre, sent), Session: s.session,
 	}
 	if centre == "" {
-		a.purse.renewed = sent
-		request.Demand, request.Held = s.demand(a.purse), a.purse.allowed.held(sent)
-		request.Returned = a.purse.allowed.giveBack(sent, s.limits.Limit(a.team).Rate)
+		a.cache.renewed = sent
+		request.Demand, request.Held = s.demand(a.cache), a.cache.allowed.held(sent)
+		request.Returned = a.cache.allowed.giveBack(sent, s.limits.Limit(a.team).Rate)
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -417,15 +417,15 @@
 		s.mu.Lock()
 		if sent.Before(s.stated[Shard(a.team)]) {
 			// Another holder has been told since what this node holds.
-			reply.Rate = min(reply.Rate, a.purse.allowed.held(s.clock.Now()))
+			reply.Rate = min(reply.Rate, a.cache.allowed.held(s.clock.Now()))
 			reply.Count = 0
 		}
-		a.purse.allowed.set(s.clock.Now(), reply.Rate, sent.Add(time.Duration(reply.Hold)*time.Millisecond), s.limits.Limit(a.team).Rate)
+		a.cache.allowed.set(s.clock.Now(), reply.Rate, sent.Add(time.Duration(reply.Hold)*time.Millisecond), s.limits.Limit(a.team).Rate)
 		s.mu.Unlock()
 	}
 	if reply.Count > 0 {
 		s.mu.Lock()
-		a.purse.stocks = append(a.purse.stocks, &stock{
+		a.cache.batches = append(a.cache.batches, &heldBatch{
 			centre: centre, batch: reply.Batch, count: reply.Count, got: sent,
 			expiry: sent.Add(time.Duration(reply.Term) * time.Millisecond),
 		})
@@ -436,11 +436,11 @@
 
 // takeReports says what became of the batches of a data centre, and closes
 // those that the team no longer needs.
-func (p *purse) takeReports(centre string, now time.Time) []*control.Spent {
+func (p *tokenCache) takeReports(centre string, now time.Time) []*control.Spent {
 	reports := p.reports[centre]
 	delete(p.reports, centre)
-	kept := p.stocks[:0]
-	for _, st := range p.stocks {
+	kept := p.batches[:0]
+	for _, st := range p.batches {
 		if st.centre != centre {
 			kept = append(kept, st)
 			continue
@@ -451,7 +451,7 @@
 			kept = append(kept, st)
 		}
 	}
-	p.stocks = kept
+	p.batches = kept
 	return reports
 }
 
@@ -459,7 +459,7 @@
 func (s *Spender) finish(a *ask) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := a.purse
+	p := a.cache
 	p.asking, p.missed = false, false
 	now := s.clock.Now()
 	limit := s.limits.Limit(a.team).Rate
@@ -475,7 +475,7 @@
 func (s *Spender) refuse(a *ask, wait time.Duration, unreachable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := a.purse
+	p := a.cache
 	p.asking, p.missed = false, unreachable
 	now := s.clock.Now()
 	p.wait = wait
@@ -504,7 +504,7 @@
 	var parcels []parcel
 	s.mu.Lock()
 	now := s.clock.Now()
-	for team, p := range s.purses {
+	for team, p := range s.caches {
 		p.closeIdle(now)
 		p.cool(now)
 		s.renew(ctx, team, p, now)
@@ -524,7 +524,7 @@
 }
 
 // cool lets the heat of a team without requests sink.
-func (p *purse) cool(now time.Time) {
+func (p *tokenCache) cool(now time.Time) {
 	if now.Sub(p.countedAt) < reportAfter {
 		return
 	}
@@ -532,16 +532,16 @@
 	p.warm(now)
 }
 
-func (p *purse) closeIdle(now time.Time) {
-	kept := p.stocks[:0]
-	for _, st := range p.stocks {
+func (p *tokenCache) closeIdle(now time.Time) {
+	kept := p.batches[:0]
+	for _, st := range p.batches {
 		if now.Sub(st.got) > reportAfter {
 			p.close(st)
 			continue
 		}
 		kept = append(kept, st)
 	}
-	p.stocks = kept
+	p.batches = kept
 }
 
 // Run gives back idle tokens until the context ends.
--- /dev/null
+++ b/pkg/measurer/measurer.go
@@ -0,0 +1,93 @@
+// Package measurer holds the counters, histograms and gauges of a node and
+// serves them as text for the tools of operators.
+package measurer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// buckets of latencies in seconds: from what a node adds to the longest
+// timeouts in use.
+var buckets = []float64{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}
+
+// Gauge is a figure that is read when metrics are fetched.
+type Gauge struct {
+	Name, Help string
+	Read       func() float64
+}
+
+// Measurer collects the metrics of one node.
+type Measurer struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	hops     *prometheus.CounterVec
+	events   *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// New makes a measurer with the gauges given.
+func New(gauges []Gauge) *Measurer {
+	m := &Measurer{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrose_requests_total", Help: "Requests that ended on their entry node.",
+		}, []string{"route", "team", "outcome", "reason"}),
+		hops: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrose_hops_total", Help: "Requests that ended on the node of their target.",
+		}, []string{"outcome", "reason"}),
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrose_events_total", Help: "Events by name, as in the log.",
+		}, []string{"event"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "primrose_latency_seconds", Help: "Time from the arrival of a request to its answer.", Buckets: buckets,
+		}, []string{"side", "outcome"}),
+	}
+	m.registry.MustRegister(m.requests, m.hops, m.events, m.latency)
+	for _, g := range gauges {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.Name, Help: g.Help}, g.Read))
+	}
+	return m
+}
+
+// Request counts a request that ended on its entry node.
+func (m *Measurer) Request(route, team, outcome, reason string, took time.Duration) {
+	m.requests.WithLabelValues(route, team, outcome, reason).Inc()
+	m.latency.WithLabelValues("entry", outcome).Observe(took.Seconds())
+}
+
+// Hop counts a request that ended on the node of its target.
+func (m *Measurer) Hop(outcome, reason string, took time.Duration) {
+	m.hops.WithLabelValues(outcome, reason).Inc()
+	m.latency.WithLabelValues("target", outcome).Observe(took.Seconds())
+}
+
+// Event adds to a counter of events.
+func (m *Measurer) Event(name string, delta int64) {
+	m.events.WithLabelValues(name).Add(float64(delta))
+}
+
+// Handler serves the metrics.
+func (m *Measurer) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Names lists the metrics with their help, for the index in the docs.
+func (m *Measurer) Names() (map[string]string, error) {
+	// Vectors show up only once they have a value.
+	m.Request("", "", "", "", 0)
+	m.Hop("", "", 0)
+	m.Event("", 0)
+	families, err := m.registry.Gather()
+	if err != nil {
+		return nil, err
+	}
+	names := map[string]string{}
+	for _, f := range families {
+		names[f.GetName()] = f.GetHelp()
+	}
+	return names, nil
+}
--- /dev/null
+++ b/pkg/server/gauges.go
@@ -0,0 +1,30 @@
+package server
+
+import "github.com/primrosewall/primrosewall/pkg/measurer"
+
+// gauges are the figures that are read when metrics are fetched.
+func (s *Server) gauges() []measurer.Gauge {
+	return []measurer.Gauge{
+		{Name: "primrose_version", Help: "Version of the configuration in force.", Read: func() float64 { return float64(s.config.Current().Version()) }},
+		{Name: "primrose_revision", Help: "Number that the operator gave to it.", Read: func() float64 { return float64(s.config.Current().Revision()) }},
+		{Name: "primrose_epoch", Help: "Epoch of the set of replicas.", Read: func() float64 { return float64(s.config.Current().Value().GetEpoch()) }},
+		{Name: "primrose_members", Help: "Instances in the gossip table.", Read: func() float64 { return float64(len(s.gossip.Members())) }},
+		{Name: "primrose_replica_heard_seconds", Help: "Age of the last word of a replica.", Read: s.replicaAge},
+		{Name: "primrose_slots", Help: "Slots that the own target announced.", Read: func() float64 { return float64(s.admitter.Load().Slots) }},
+		{Name: "primrose_limit", Help: "Concurrency limit of the own target.", Read: func() float64 { return float64(s.admitter.Load().Limit) }},
+		{Name: "primrose_inflight", Help: "Requests running at the own target.", Read: func() float64 { return float64(s.admitter.Load().Inflight) }},
+		{Name: "primrose_queued", Help: "Requests waiting for the own target.", Read: func() float64 { return float64(s.admitter.Load().Queued) }},
+		{Name: "primrose_level", Help: "Priority below which requests are better refused at their entry node.", Read: func() float64 { return float64(s.admitter.Load().Level) }},
+		{Name: "primrose_target_connections", Help: "Connections made to targets since the start.", Read: func() float64 { return float64(s.connector.Dialed()) }},
+		{Name: "primrose_uptime_seconds", Help: "Time since the start.", Read: func() float64 { return s.clock.Now().Sub(s.started).Seconds() }},
+	}
+}
+
+// replicaAge is below 0 when no replica was heard of yet.
+func (s *Server) replicaAge() float64 {
+	last := s.gossip.ReplicaHeard()
+	if last.IsZero() {
+		return -1
+	}
+	return s.clock.Now().Sub(last).Seconds()
+}
--- a/pkg/server/listeners.go
+++ b/pkg/server/listeners.go
@@ -50,7 +50,7 @@
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepIdle, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(slog.NewTextHandler(quietLog{s.metrics.Add}, nil), slog.LevelError),
+		ErrorLog: slog.NewLogLogger(slog.NewTextHandler(quietLog{s.count}, nil), slog.LevelError),
 	}
 	if secure {
 		server.TLSConfig = s.sealer.Server()
@@ -91,8 +91,9 @@
 	mux.Handle(operator.PathPrefix(), s.identifyOperator(bounded(operator)))
 	mux.Handle("/announce", localOnly(s.announcer))
 	mux.HandleFunc("GET /debug/vars", s.serveMetrics)
+	mux.Handle("GET /metrics", s.measurer.Handler())
 	mux.HandleFunc("GET /{$}", func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintln(w, "primrosed "+s.settings.Instance+"\n/debug/vars metrics\n/announce for the own target")
+		fmt.Fprintln(w, "primrosed "+s.settings.Instance+"\n/metrics and /debug/vars metrics\n/announce for the own target")
 	})
 	return mux
 }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/primrosewall/primrosewall/pkg/forwarder"
 	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/limiter"
+	"github.com/primrosewall/primrosewall/pkg/measurer"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/pkg/router"
@@ -90,6 +91,7 @@
 	connector *connector.Connector
 
 	metrics  *expvar.Map
+	measurer *measurer.Measurer
 	stopping time.Time
 	draining atomic.Bool
 	isReady  atomic.Bool
@@ -106,6 +108,7 @@
 		quarantine: &quarantiner.Quarantiner{}, metrics: new(expvar.Map), sealer: sealer.Plain(),
 	}
 	s.live.Store(settings)
+	s.measurer = measurer.New(s.gauges())
 	if settings.Links != configurer.LinksPlain {
 		var err error
 		if s.sealer, err = sealer.New(settings.SecretBytes()); err != nil {
@@ -181,7 +184,7 @@
 	if s.folder != nil {
 		self.Identity = s.folder.Identity()
 	}
-	s.carrier = &carrier{sealer: s.sealer, count: s.metrics.Add}
+	s.carrier = &carrier{sealer: s.sealer, count: s.count}
 	s.gossip = gossiper.New(self, s.seeds(), s.clock, s.carrier, s.source, newRandom())
 	s.carrier.receive = s.gossip.Receive
 	s.directory = &directory{gossip: s.gossip, config: s.config, caller: s.caller, centre: s.settings.Centre, clock: s.clock, holders: map[string]string{}, doubted: map[string]time.Time{}}
@@ -226,7 +229,7 @@
 	}, randomName)
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
-		Limiter: s.spender, Claimer: claimer, Admitter: s.admitter, Metrics: s.metrics,
+		Limiter: s.spender, Claimer: claimer, Admitter: s.admitter, Count: s.count, Observer: s.measurer,
 		Router:     router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom()),
 		Link:       forwarder.NewLink(s.sealer.Client()),
 		LinkScheme: s.linkScheme(), Dialect: s.face.Dialect,
@@ -272,10 +275,16 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
+// count adds to a counter of events.
+func (s *Server) count(name string, delta int64) {
+	s.metrics.Add(name, delta)
+	s.measurer.Event(name, delta)
+}
+
 // fail logs an error of the node's own state.
 func (s *Server) fail(event string, err error) {
 	s.log.Error(event, "error", err.Error())
-	s.metrics.Add("errors", 1)
+	s.count("errors", 1)
 }
 
 // offer puts a chosen value into force, if it is news.
@@ -306,7 +315,7 @@
 func (s *Server) Crashed(crash string) {
 	digests := s.forwarder.AtCrash()
 	s.log.Warn("crash", "target", crash, "requests", len(digests))
-	s.metrics.Add("crashes", 1)
+	s.count("crashes", 1)
 	s.gossip.Tell(nil, s.quarantine.Crash(s.settings.Instance+"/"+crash, digests))
 }
 
@@ -350,7 +359,7 @@
 
 // Run serves until the context ends, then stops without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
-	udp, err := listenUDP(s.settings.Peer, s.sealer, s.metrics.Add)
+	udp, err := listenUDP(s.settings.Peer, s.sealer, s.count)
 	if err != nil {
 		return err
 	}
@@ -391,7 +400,7 @@
 		{s.settings.Peer, s.peerHandler(), !s.sealer.IsPlain()},
 		{s.settings.Admin, s.adminHandler(), false},
 		{s.settings.Ready, http.HandlerFunc(s.serveReady), false},
-		{s.settings.Metrics, http.HandlerFunc(s.serveMetrics), false},
+		{s.settings.Metrics, s.measurer.Handler(), false},
 	}
 	if s.face.Control != nil {
 		plans = append(plans, struct {
--- a/pkg/trialer/fleet.go
+++ b/pkg/trialer/fleet.go
@@ -27,7 +27,7 @@
 // All run inside the tool's process but talk over TCP as on many machines.
 type fleet struct {
 	plan    *Plan
-	doors   []string
+	entries []string
 	layers  [][]*place
 	keys    map[string]string
 	cancel  context.CancelFunc
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fleet{plan: p, keys: map[string]string{}, cancel: cancel}
 	f.layout()
-	f.doors = nil
+	f.entries = nil
 	for l := range f.layers {
 		for _, place := range f.layers[l] {
 			place.options.Admin = ""
@@ -80,7 +80,7 @@
 				}
 			}
 			if l == 0 {
-				f.doors = append(f.doors, place.options.Address)
+				f.entries = append(f.entries, place.options.Address)
 			}
 			if err := place.begin(ctx); err != nil {
 				f.close()
@@ -123,7 +123,7 @@
 		f.layers = append(f.layers, places)
 	}
 	for _, p := range f.layers[0] {
-		f.doors = append(f.doors, p.settings.Listen)
+		f.entries = append(f.entries, p.settings.Listen)
 	}
 }
 
@@ -240,14 +240,14 @@
 	return errors.New("the declaration was not accepted")
 }
 
-// ready waits until every door serves every team.
+// ready waits until every entry serves every team.
 func (f *fleet) ready() error {
 	end := time.Now().Add(15 * time.Second)
-	for _, door := range f.doors {
+	for _, entry := range f.entries {
 		for team := range f.keys {
-			for f.ask(door, team) != http.StatusOK {
+			for f.ask(entry, team) != http.StatusOK {
 				if time.Now().After(end) {
-					return fmt.Errorf("door %s does not serve team %s", door, team)
+					return fmt.Errorf("entry %s does not serve team %s", entry, team)
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -256,8 +256,8 @@
 	return nil
 }
 
-func (f *fleet) ask(door, team string) int {
-	r, err := http.NewRequest(http.MethodGet, "http://"+door+"/"+f.plan.Layers[0].Service, nil)
+func (f *fleet) ask(entry, team string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+entry+"/"+f.plan.Layers[0].Service, nil)
 	if err != nil {
 		return 0
 	}
--- a/pkg/trialer/load.go
+++ b/pkg/trialer/load.go
@@ -126,7 +126,7 @@
 			return
 		case <-time.After(time.Until(s.start.Add(at))):
 		}
-		c := &caller{source: s, at: at, important: s.random.Float64() < plan.Important, door: s.random.IntN(len(s.fleet.doors))}
+		c := &caller{source: s, at: at, important: s.random.Float64() < plan.Important, entry: s.random.IntN(len(s.fleet.entries))}
 		s.callers.Add(1)
 		go c.run(ctx)
 	}
@@ -137,7 +137,7 @@
 	source    *source
 	at        time.Duration
 	important bool
-	door      int
+	entry     int
 }
 
 func (c *caller) run(ctx context.Context) {
@@ -158,18 +158,18 @@
 	s.record.add(c.at, cell{s.team.Name, c.important}, outcome, time.Since(began), sends)
 }
 
-// send sends once. The distance between a caller and a door is a pause.
+// send sends once. The distance between a caller and a entry is a pause.
 func (c *caller) send(ctx context.Context, try int) Outcome {
 	s := c.source
 	if d := time.Duration(s.fleet.plan.Distance) * time.Millisecond; d > 0 {
 		time.Sleep(d)
 	}
-	door := s.fleet.doors[(c.door+try)%len(s.fleet.doors)]
+	entry := s.fleet.entries[(c.entry+try)%len(s.fleet.entries)]
 	path := "/" + s.fleet.plan.Layers[0].Service
 	if c.important {
 		path = "/important" + path
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+door+path+"?id="+strconv.FormatInt(int64(c.at), 10), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+path+"?id="+strconv.FormatInt(int64(c.at), 10), nil)
 	if err != nil {
 		return Failed
 	}
--- a/pkg/trialer/plan.go
+++ b/pkg/trialer/plan.go
@@ -9,7 +9,7 @@
 // Plan describes an experiment.
 type Plan struct {
 	Name string `json:"name"`
-	// Layers are the services of the chain, the door first.
+	// Layers are the services of the chain, the entry first.
 	Layers []Layer `json:"layers"`
 	// Teams share the load.
 	Teams []Team `json:"teams"`
@@ -24,7 +24,7 @@
 	Retries int `json:"retries"`
 	// Events happen during the run.
 	Events []Event `json:"events"`
-	// Distance in milliseconds is the time from a caller to a door and back.
+	// Distance in milliseconds is the time from a caller to a entry and back.
 	Distance int64 `json:"distance"`
 	// Rule finds the limits of the targets; empty is the daemon's default.
 	Rule string `json:"rule"`
--- a/test/input_test.go
+++ b/test/input_test.go
@@ -81,7 +81,7 @@
 	u, err := net.Dial("udp", a.peer)
 	f.Assert(err, qt.IsNil)
 	defer u.Close()
-	_, err = u.Write([]byte(strings.Repeat("stranger", 20)))
+	_, err = u.Write([]byte(strings.Repeat("unknown sender", 10)))
 	f.Assert(err, qt.IsNil)
 	f.until("the datagram is counted as forged", func() bool { return a.metric("gossip_forged") == 1 })
 	f.Assert(a.metric("members"), qt.Equals, 3.0)
