--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -18,8 +18,8 @@
 	minQueue = 8
 	// costWeight is that of the newest request in a team's average cost.
 	costWeight = 0.1
-	// rampStart is the part of the limit that a cold target begins with.
-	rampStart = 0.2
+	// rampStart is the part of the limit that a cold target begins with: it is slow, but has all its slots.
+	rampStart = 0.6
 	// minSlots is the least number of slots during the ramp.
 	minSlots = 2
 )
