--- a/pkg/forwarder/route_filter.go
+++ b/pkg/forwarder/route_filter.go
@@ -33,6 +33,9 @@
 		x.refuse(refuse(http.StatusNotFound, ReasonRoute, 0, "no route for %s %s", x.request.Method, x.request.URL.Path))
 		return
 	}
+	if !x.fits(x.config.Declaration().Limits.Body) {
+		return
+	}
 	x.route = route
 	x.hop.Service = r.forwarder.splits.next(route)
 	x.hop.Arrival = route.Name
@@ -56,6 +59,22 @@
 	next(x)
 }
 
+// fits refuses a body that is known to be over the limit in bytes, and cuts
+// one whose length is not known; 0 is no limit.
+func (x *Exchange) fits(limit int64) bool {
+	if limit <= 0 || x.request.Body == nil {
+		return true
+	}
+	if x.request.ContentLength > limit {
+		x.refuse(refuse(http.StatusRequestEntityTooLarge, ReasonRequest, 0, "the body is over %d bytes", limit))
+		return false
+	}
+	if x.request.ContentLength < 0 {
+		x.request.Body = http.MaxBytesReader(x.writer, x.request.Body, limit)
+	}
+	return true
+}
+
 // inherit takes what a call has from its root request.
 func (r *routeFilter) inherit(x *Exchange) {
 	p := x.parent
