--- a/pkg/admitter/level.go
+++ b/pkg/admitter/level.go
@@ -11,8 +11,12 @@
 	levelPeriod = 100 * time.Millisecond
 	// raiseStep is the part of one rank's requests that a step up refuses more
 	// at full pressure, lowerStep the part that a step down admits more.
-	raiseStep = 0.06
-	lowerStep = 0.02
+	raiseStep = 0.03
+	lowerStep = 0.015
+	// steepAfter is the number of periods with refusals in a row after which a
+	// step up is steepFactor times as large: more than the delay of the chain.
+	steepAfter  = 5
+	steepFactor = 2
 	// idleStep is that part when the target had slots to spare all the time.
 	idleStep = 0.08
 	// idlePart is the part of the limit in use below which slots are to spare.
@@ -41,8 +45,10 @@
 	// least wait seen in this period, and whether anything was seen.
 	least time.Duration
 	seen  bool
-	// refused tells that a request was refused for lack of room.
+	// refused tells that a request was refused for lack of room, streak for how
+	// many periods in a row.
 	refused bool
+	streak  int
 	// busiest is the highest part of the limit in use.
 	busiest float64
 }
@@ -89,8 +95,14 @@
 // move is the step of a period, as a part of one rank's requests.
 func (l *level) move(service time.Duration) float64 {
 	target := max(waitTarget, service/waitPart)
+	if !l.refused {
+		l.streak = 0
+	}
 	switch {
 	case l.refused:
+		if l.streak++; l.streak > steepAfter {
+			return raiseStep * steepFactor
+		}
 		return raiseStep
 	case l.seen && l.least > target:
 		return raiseStep * min(1, float64(l.least)/float64(waitFull*target))
--- /dev/null
+++ b/pkg/connector/connector_test.go
@@ -0,0 +1,209 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/connector"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+)
+
+// script is a target that plays the same bytes on each connection.
+type script struct {
+	listener net.Listener
+	conns    atomic.Int32
+	requests atomic.Int32
+	// answer writes what a request gets; false ends the connection.
+	answer func(conn net.Conn, r *http.Request, body string) bool
+}
+
+func newScript(t *testing.T, answer func(net.Conn, *http.Request, string) bool) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &script{listener: l, answer: answer}
+	t.Cleanup(func() { l.Close() })
+	go s.run()
+	return s
+}
+
+func (s *script) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.conns.Add(1)
+		p := &player{script: s, conn: conn}
+		go p.run()
+	}
+}
+
+type player struct {
+	script *script
+	conn   net.Conn
+}
+
+func (p *player) run() {
+	defer p.conn.Close()
+	reader := bufio.NewReader(p.conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		p.script.requests.Add(1)
+		var body []byte
+		if r.Header.Get("Early") == "" {
+			if body, err = io.ReadAll(r.Body); err != nil {
+				return
+			}
+		}
+		if !p.script.answer(p.conn, r, string(body)) {
+			return
+		}
+	}
+}
+
+func get(t *testing.T, c *connector.Connector, s *script, id string) (string, error) {
+	r, err := http.NewRequest("GET", "http://x/", nil)
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("Id", id)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	response, err := c.Do(ctx, s.listener.Addr().String(), r, func(a *http.Response) bool { return a.Header.Get("Id") == id })
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+func reply(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// TestConnectionIsReused sends several requests over one connection.
+func TestConnectionIsReused(t *testing.T) {
+	s := newScript(t, func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(c, reply(r.Header.Get("Id"), "ok"))
+		return err == nil
+	})
+	c := connector.New(timekeeper.System{})
+	for _, id := range []string{"1", "2", "3"} {
+		text, err := get(t, c, s, id)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, text, qt.Equals, "ok")
+	}
+	qt.Assert(t, s.conns.Load(), qt.Equals, int32(1))
+	qt.Assert(t, c.Dialed(), qt.Equals, int64(1))
+}
+
+// TestSecondAnswerIsGivenToNobody sends each answer twice: the second one
+// arrives after the request it belongs to, or before the next answer.
+func TestSecondAnswerIsGivenToNobody(t *testing.T) {
+	s := newScript(t, func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(c, reply(r.Header.Get("Id"), "a"+r.Header.Get("Id"))+reply(r.Header.Get("Id"), "b"+r.Header.Get("Id")))
+		return err == nil
+	})
+	c := connector.New(timekeeper.System{})
+	for _, id := range []string{"1", "2", "3", "4"} {
+		text, err := get(t, c, s, id)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, text, qt.Equals, "a"+id)
+	}
+}
+
+// TestLateAnswerIsPassedOver sends the answer to another request first.
+func TestLateAnswerIsPassedOver(t *testing.T) {
+	s := newScript(t, func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(c, reply("other", "xx")+reply(r.Header.Get("Id"), "mine"))
+		return err == nil
+	})
+	text, err := get(t, connector.New(timekeeper.System{}), s, "1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, text, qt.Equals, "mine")
+}
+
+// TestNothingIsSentTwice drops every connection after it has read a request.
+func TestNothingIsSentTwice(t *testing.T) {
+	s := newScript(t, func(net.Conn, *http.Request, string) bool { return false })
+	_, err := get(t, connector.New(timekeeper.System{}), s, "1")
+	var broken *connector.Error
+	qt.Assert(t, errors.As(err, &broken), qt.IsTrue)
+	qt.Assert(t, broken.Sent, qt.IsTrue)
+	qt.Assert(t, s.requests.Load(), qt.Equals, int32(1))
+}
+
+// TestUnreachableTargetWasNotSent dials a port that nobody listens on.
+func TestUnreachableTargetWasNotSent(t *testing.T) {
+	s := newScript(t, nil)
+	s.listener.Close()
+	_, err := get(t, connector.New(timekeeper.System{}), s, "1")
+	var broken *connector.Error
+	qt.Assert(t, errors.As(err, &broken), qt.IsTrue)
+	qt.Assert(t, broken.Sent, qt.IsFalse)
+}
+
+// TestCutAnswerIsAnError ends an answer before its length.
+func TestCutAnswerIsAnError(t *testing.T) {
+	s := newScript(t, func(c net.Conn, r *http.Request, _ string) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 9\r\n\r\nhalf")
+		return false
+	})
+	_, err := get(t, connector.New(timekeeper.System{}), s, "1")
+	qt.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue)
+}
+
+// slowBody gives one half, and the other only when it is asked for.
+type slowBody struct {
+	first  *strings.Reader
+	second chan string
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.first.Len() > 0 {
+		return b.first.Read(p)
+	}
+	text, ok := <-b.second
+	if !ok {
+		return 0, io.EOF
+	}
+	return copy(p, text), nil
+}
+
+// TestEarlyAnswerEndsTheConnection answers before the body is in: what is left
+// of the body must not be taken for the next request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	s := newScript(t, func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(c, reply(r.Header.Get("Id"), "no"))
+		return err == nil
+	})
+	c := connector.New(timekeeper.System{})
+	body := &slowBody{first: strings.NewReader("half"), second: make(chan string, 1)}
+	r, err := http.NewRequest("POST", "http://x/", io.NopCloser(body))
+	qt.Assert(t, err, qt.IsNil)
+	r.ContentLength = 8
+	r.Header.Set("Id", "1")
+	r.Header.Set("Early", "1")
+	response, err := c.Do(context.Background(), s.listener.Addr().String(), r, nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	close(body.second)
+	text, err := get(t, c, s, "2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, text, qt.Equals, "no")
+	qt.Assert(t, s.conns.Load(), qt.Equals, int32(2))
+}
--- /dev/null
+++ b/pkg/planner/applier_test.go
@@ -0,0 +1,89 @@
+package planner_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/planner"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// interpret reads documents that name one team, or are not valid.
+func interpret(document []byte) (*declarer.Declaration, error) {
+	name := string(document)
+	if strings.HasPrefix(name, "bad") {
+		return nil, fmt.Errorf("%s", name)
+	}
+	return &declarer.Declaration{Teams: map[string]declarer.Team{name: {}}}, nil
+}
+
+func apply(t *testing.T, current *control.Value, base, revision uint64, document string) (*control.Value, error) {
+	a := &planner.Application{Base: base, Revision: revision, Document: []byte(document), Interpret: interpret}
+	next, err := a.Update()(current)
+	if err != nil {
+		return current, err
+	}
+	qt.Assert(t, string(next.Document), qt.Equals, document)
+	qt.Assert(t, next.Revision, qt.Equals, revision)
+	qt.Assert(t, next.Version, qt.Equals, current.Version+1)
+	return next, nil
+}
+
+// TestAppliedAgainIsAcknowledged sends every accepted document again after
+// hundreds of others.
+func TestAppliedAgainIsAcknowledged(t *testing.T) {
+	value := planner.Found(nil)
+	var err error
+	for i := range uint64(400) {
+		value, err = apply(t, value, 3*i, 3*i+3, fmt.Sprint("team", i))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	for i := range uint64(400) {
+		_, err := apply(t, value, 3*i, 3*i+3, fmt.Sprint("team", i))
+		var repeat *planner.RepeatError
+		qt.Assert(t, errors.As(err, &repeat), qt.IsTrue, qt.Commentf("%d: %v", i, err))
+	}
+}
+
+// TestOneOfTwoOnTheSameBaseWins lets two operators choose the same number.
+func TestOneOfTwoOnTheSameBaseWins(t *testing.T) {
+	value, err := apply(t, planner.Found(nil), 0, 5, "one")
+	qt.Assert(t, err, qt.IsNil)
+	var base *planner.BaseError
+	_, err = apply(t, value, 0, 5, "two")
+	qt.Assert(t, errors.As(err, &base), qt.IsTrue)
+	qt.Assert(t, base.Current, qt.Equals, uint64(5))
+}
+
+// TestInvalidIsNeverInForce checks documents and numbers that cannot be.
+func TestInvalidIsNeverInForce(t *testing.T) {
+	value, err := apply(t, planner.Found(nil), 0, 5, "one")
+	qt.Assert(t, err, qt.IsNil)
+	var invalid *planner.InvalidError
+	for _, revision := range []uint64{0, 4, 5} {
+		_, err = apply(t, value, 5, revision, "two")
+		qt.Assert(t, errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%d", revision))
+	}
+	_, err = apply(t, value, 5, 6, "bad")
+	qt.Assert(t, errors.As(err, &invalid), qt.IsTrue)
+	a := &planner.Application{Document: []byte("bad"), Interpret: interpret}
+	qt.Assert(t, errors.As(a.Check(), &invalid), qt.IsTrue)
+}
+
+// TestReplacementKeepsTheDocument changes the set of replicas in between.
+func TestReplacementKeepsTheDocument(t *testing.T) {
+	members := []*control.Member{{Identity: "a"}, {Identity: "b"}, {Identity: "c"}}
+	value, err := apply(t, planner.Found(members), 0, 7, "one")
+	qt.Assert(t, err, qt.IsNil)
+	r := &planner.Replacement{ID: "r", Base: value.Version, Leaving: "a", Joining: &control.Member{Identity: "d"}}
+	value, err = r.Update()(value)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(value.Document), qt.Equals, "one")
+	_, err = apply(t, value, 7, 9, "two")
+	qt.Assert(t, err, qt.IsNil)
+}
