--- a/pkg/commander/verbs.go
+++ b/pkg/commander/verbs.go
@@ -43,6 +43,7 @@
 		{replacePage, runReplace},
 		{targetPage, runTarget},
 		{trialPage, runTrial},
+		{explainPage, runExplain},
 	}
 }
 
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -28,3 +28,6 @@
 	}
 	return s.clock.Now().Sub(last).Seconds()
 }
+
+// MetricNames lists the metrics that this node serves, with their help.
+func (s *Server) MetricNames() (map[string]string, error) { return s.measurer.Names() }
