--- a/pkg/announcer/announcer_test.go
+++ b/pkg/announcer/announcer_test.go
@@ -71,9 +71,20 @@
 	qt.Assert(t, s.watcher.announced(), qt.Equals, "b/20")
 	s.report("a/10", 10, 9, false)
 	qt.Assert(t, s.watcher.announced(), qt.Equals, "b/20")
-	s.report("b/20", 20, 3, true)
+	// A late report of the same life does not bring back what it said before.
+	for _, later := range []struct {
+		sequence uint64
+		slots    int
+	}{{3, 8}, {2, 4}} {
+		s.Report(announcer.Report{
+			Announcement: announcer.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: later.slots, Life: "b/20"},
+			Born:         20, Sequence: later.sequence, Term: time.Minute,
+		}, drain)
+	}
+	qt.Assert(t, s.Target().Slots, qt.Equals, 8)
+	s.report("b/20", 20, 4, true)
 	qt.Assert(t, s.watcher.announced(), qt.Equals, "")
-	s.report("b/20", 20, 2, false)
+	s.report("b/20", 20, 3, false)
 	qt.Assert(t, s.watcher.announced(), qt.Equals, "")
 }
 
--- a/pkg/limiter/grant_test.go
+++ b/pkg/limiter/grant_test.go
@@ -114,6 +114,15 @@
 	}
 }
 
+// held adds up what all nodes may admit on their own.
+func (r *grantRun) held() float64 {
+	sum := 0.0
+	for _, n := range r.nodes {
+		sum += n.allowed.held(r.now)
+	}
+	return sum
+}
+
 // over returns how much the worst window is over the limit.
 func (r *grantRun) over() float64 {
 	worst := 0.0
@@ -134,6 +143,7 @@
 		r := newGrantRun(seed, Part{Rate: 20, Burst: 20})
 		for range 600 {
 			r.play()
+			qt.Assert(t, r.held() <= r.part.Rate*grantedPart+1e-9, qt.IsTrue, qt.Commentf("seed %d: %v held", seed, r.held()))
 		}
 		served += len(r.spends)
 		qt.Assert(t, r.over() < 1e-6, qt.IsTrue, qt.Commentf("seed %d: over by %v", seed, r.over()))
--- /dev/null
+++ b/pkg/limiter/token_cache.go
@@ -0,0 +1,45 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// heldBatch is a batch of tokens from one data centre.
+type heldBatch struct {
+	centre string
+	batch  uint64
+	count  uint32
+	spent  uint32
+	expiry time.Time
+	got    time.Time
+}
+
+// tokenCache is what a node has of one team's tokens.
+type tokenCache struct {
+	batches []*heldBatch
+	// reports by data centre, to be sent with the next request there.
+	reports map[string][]*control.Spent
+	waiting []chan error
+	asking  bool
+	// counted since countedAt gives the heat in requests per second.
+	counted   float64
+	countedAt time.Time
+	heat      float64
+	// barred is until when the team is refused without asking.
+	barred time.Time
+	wait   time.Duration
+	// steady is the heat over a longer time, for grants.
+	steady float64
+	// windows counts those that steady was measured over.
+	windows float64
+	// allowed is what the node may admit on its own.
+	allowed allowance
+	// renewed is when a grant was last asked for.
+	renewed time.Time
+	// reserved is used while no holder is in reach.
+	reserved allowance
+	// missed tells that the last ask reached no holder.
+	missed bool
+}
--- /dev/null
+++ b/pkg/server/readiness.go
@@ -0,0 +1,36 @@
+package server
+
+import (
+	"time"
+)
+
+// ready tells whether the configuration is known well enough to serve: some
+// others were heard, or there was time to hear them.
+func (s *Server) ready() bool {
+	if s.isReady.Load() {
+		return true
+	}
+	if s.config.Current().Version() == 0 {
+		return false
+	}
+	heard := s.gossip.Heard() >= min(readyHeard, len(s.seeds()))
+	if !heard && s.clock.Now().Sub(s.started) < readyMost {
+		return false
+	}
+	s.isReady.Store(true)
+	return true
+}
+
+// inContact tells whether a replica was heard of within the set bound.
+func (s *Server) inContact() bool {
+	contact := s.live.Load().Contact
+	if contact == 0 || s.folder != nil {
+		return true
+	}
+	bound := time.Duration(contact) * time.Second
+	last := s.gossip.ReplicaHeard()
+	if last.IsZero() {
+		last = s.started
+	}
+	return s.clock.Now().Sub(last) < bound
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -326,37 +326,6 @@
 	}
 }
 
-// ready tells whether the configuration is known well enough to serve: some
-// others were heard, or there was time to hear them.
-func (s *Server) ready() bool {
-	if s.isReady.Load() {
-		return true
-	}
-	if s.config.Current().Version() == 0 {
-		return false
-	}
-	heard := s.gossip.Heard() >= min(readyHeard, len(s.seeds()))
-	if !heard && s.clock.Now().Sub(s.started) < readyMost {
-		return false
-	}
-	s.isReady.Store(true)
-	return true
-}
-
-// inContact tells whether a replica was heard of within the set bound.
-func (s *Server) inContact() bool {
-	contact := s.live.Load().Contact
-	if contact == 0 || s.folder != nil {
-		return true
-	}
-	bound := time.Duration(contact) * time.Second
-	last := s.gossip.ReplicaHeard()
-	if last.IsZero() {
-		last = s.started
-	}
-	return s.clock.Now().Sub(last) < bound
-}
-
 // Run serves until the context ends, then stops without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
 	udp, err := listenUDP(s.settings.Peer, s.sealer, s.count)
@@ -448,36 +417,3 @@
 	defer m.group.Done()
 	m.controller.Run(ctx)
 }
-
-// stop announces that the node leaves, waits until others have heard of it
-// and until the requests are through, then closes the listeners.
-func (s *Server) stop(listeners []*listener) {
-	s.log.Info("drain", "instance", s.settings.Instance)
-	s.stopping = s.clock.Now()
-	s.draining.Store(true)
-	most := stopMost
-	if grace := s.live.Load().Grace.Duration; grace > 0 {
-		most = grace - min(graceMargin, grace/4)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), most)
-	defer cancel()
-	s.gossip.Change(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
-	if err := s.announcer.Drain(ctx); err != nil {
-		s.fail("drain", err)
-	}
-	if s.announcer.Target() == nil {
-		<-s.clock.After(announcer.Spread)
-	}
-	if s.settings.Ready != "" && s.settings.Listen != "" {
-		// Callers move away once the readiness check has failed twice.
-		select {
-		case <-s.clock.After(readyMoves - s.clock.Now().Sub(s.stopping)):
-		case <-ctx.Done():
-		}
-	}
-	for _, l := range listeners {
-		if err := l.server.Shutdown(ctx); err != nil {
-			s.fail("shutdown", err)
-		}
-	}
-}
