Callers refused for their team's rate return within half of their objective

Change: the time to come back is bounded by a quarter of the route's objective, spread up to twice that. Ruled out: the batches and buckets of the limits (all of the rate was used).

--- a/pkg/forwarder/rate_filter.go
+++ b/pkg/forwarder/rate_filter.go
@@ -28,7 +28,8 @@
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonContact, over.Wait, "%v", over))
 	case errors.As(err, &over):
 		r.forwarder.count("refused_rate")
-		x.refuse(refuse(http.StatusTooManyRequests, ReasonRate, max(over.Wait, time.Millisecond), "%v", over))
+		wait := returnWait(max(over.Wait, time.Millisecond), time.Duration(x.hop.Objective)*time.Microsecond)
+		x.refuse(refuse(http.StatusTooManyRequests, ReasonRate, wait, "%v", over))
 	default:
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDeadline, 0, "the caller went away"))
 	}
