Limits: deputies hand out a part of each rate while a holder is lost

Change: nodes hold no rates. The other witnesses of a limit that is held whole are deputies of its holder, each with an even part of every rate, which they hand out when the holder has not answered for 250 ms. The holder counts on all of it from then on, and takes back what a deputy says it did not use. A new holder does not count on the former one, which a majority of witnesses must name. Ruled out: granting more of the demand to nodes (clumped arrivals), longer batches (they count against the burst).

--- a/pkg/limiter/ask.go
+++ b/pkg/limiter/ask.go
@@ -50,12 +50,7 @@
 	a.wanted = s.wanted(a.cache)
 	request := &control.TokensRequest{
 		Instance: s.instance, Centre: s.centre, Team: a.team, Count: a.wanted, Version: s.version(), Loan: centre != "",
-		Spent: a.cache.takeReports(centre, sent), Session: s.session,
-	}
-	if centre == "" {
-		a.cache.renewed = sent
-		request.Demand, request.Held = s.demand(a.cache), a.cache.allowed.held(sent)
-		request.Returned = a.cache.allowed.giveBack(sent, s.limits.Limit(a.team).Rate)
+		Spent: a.cache.takeReports(centre, sent),
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -71,23 +66,17 @@
 		}
 		return nil, &RateError{Team: a.team, Wait: wait, Unreachable: true}
 	}
-	if reply.Hold > 0 {
-		s.mu.Lock()
-		if sent.Before(s.stated[Shard(a.team)]) {
-			// Another holder has been told since what this node holds.
-			reply.Rate = min(reply.Rate, a.cache.allowed.held(s.clock.Now()))
-			reply.Count = 0
-		}
-		a.cache.allowed.set(s.clock.Now(), reply.Rate, sent.Add(time.Duration(reply.Hold)*time.Millisecond), s.limits.Limit(a.team).Rate)
-		s.mu.Unlock()
-	}
 	if reply.Count > 0 {
 		s.mu.Lock()
+		defer s.mu.Unlock()
+		if sent.Before(s.forgotten[Shard(a.team)]) {
+			// Another holder has been told since that this node has no tokens.
+			return &control.TokensReply{}, nil
+		}
 		a.cache.batches = append(a.cache.batches, &heldBatch{
 			centre: centre, batch: reply.Batch, count: reply.Count, got: sent,
 			expiry: sent.Add(time.Duration(reply.Term) * time.Millisecond),
 		})
-		s.mu.Unlock()
 	}
 	return reply, nil
 }
@@ -120,8 +109,7 @@
 	p := a.cache
 	p.asking, p.missed = false, false
 	now := s.clock.Now()
-	limit := s.limits.Limit(a.team).Rate
-	for len(p.waiting) > 0 && (p.take(now) || p.allowed.take(now, limit)) {
+	for len(p.waiting) > 0 && p.take(now) {
 		p.waiting[0] <- nil
 		p.waiting = p.waiting[1:]
 	}
@@ -142,12 +130,7 @@
 		pause = missedFor
 	}
 	p.barred = now.Add(min(wait, pause))
-	limit := s.limits.Limit(a.team).Rate
 	for _, granted := range p.waiting {
-		if p.allowed.take(now, limit) {
-			granted <- nil
-			continue
-		}
 		granted <- s.barredError(a.team, p, now)
 	}
 	p.waiting = nil
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -37,18 +37,28 @@
 	demand  float64
 	asked   float64
 	askedAt time.Time
-	grants  grants
-	// granted is the rate that nodes may have been using since at.
-	granted float64
-	// silent of so many nodes may hold grants of former holders until then.
-	silent, nodes int
-	silentUntil   time.Time
+	// deputies are those of the shard, by instance.
+	deputies map[string]*contact
+	// refundable is what the bucket did not fill with on account of a deputy,
+	// and would have had room for.
+	refundable map[string]float64
+	// peak is the rate before it was lowered, which deputies may go by until
+	// peakUntil.
+	peak      float64
+	peakUntil time.Time
 }
 
 // newBucket makes a bucket that is empty at opens and fills from then on. The
-// time until it is first asked counts too: nothing was handed out in it.
-func newBucket(opens time.Time, part Part) *bucket {
-	return &bucket{at: opens, part: part, batches: map[uint64]*batch{}, askedAt: opens, grants: grants{}}
+// time until it is first asked counts too: nothing was handed out in it, but
+// for what deputies did.
+func newBucket(opens time.Time, part Part, deputies map[string]*contact) *bucket {
+	b := &bucket{at: opens, part: part, batches: map[uint64]*batch{}, askedAt: opens, deputies: deputies, refundable: map[string]float64{}}
+	for _, k := range deputies {
+		if k.ended.After(b.at) {
+			b.at = k.ended
+		}
+	}
+	return b
 }
 
 // outstanding counts the tokens that may still be spent.
@@ -63,6 +73,9 @@
 // refill brings the level up to now. It goes from one expiry to the next,
 // since until then the tokens of a batch leave less room to fill.
 func (b *bucket) refill(now time.Time, part Part) {
+	if part.Rate < b.part.Rate {
+		b.peak, b.peakUntil = max(b.deputyRate(now), b.part.Rate), now.Add(standbyHold+drift)
+	}
 	// The lower of before and after counts for the time between.
 	b.part = Part{Rate: math.Min(b.part.Rate, part.Rate), Burst: math.Min(b.part.Burst, part.Burst)}
 	for {
@@ -75,15 +88,27 @@
 	}
 	b.grow(now)
 	b.part = part
-	b.grants.drop(now)
-	b.granted = b.grantedNow(now)
+}
+
+// deputyRate is the rate that deputies go by.
+func (b *bucket) deputyRate(now time.Time) float64 {
+	if now.Before(b.peakUntil) {
+		return max(b.peak, b.part.Rate)
+	}
+	return b.part.Rate
 }
 
 // room is the most that the level may be: what may still be spent elsewhere
 // takes from the burst.
 func (b *bucket) room() float64 {
-	_, saved, _ := b.grants.sums("")
-	return b.part.Burst - b.outstanding() - saved
+	room := b.part.Burst - b.outstanding()
+	rate := b.deputyRate(b.at)
+	for _, k := range b.deputies {
+		if k.spending(b.at) {
+			room -= saved(rate*k.part, standbySaved) + rate*k.part*standbyTerm.Seconds()
+		}
+	}
+	return math.Max(0, room)
 }
 
 func (b *bucket) nextExpiry() (uint64, *batch) {
@@ -99,10 +124,51 @@
 // grow fills the bucket until a time at which no batch has expired yet.
 func (b *bucket) grow(to time.Time) {
 	if to.After(b.at) {
-		b.level += math.Max(0, b.part.Rate-b.granted) * to.Sub(b.at).Seconds()
+		b.level += b.part.Rate * to.Sub(b.at).Seconds()
+		for name, k := range b.deputies {
+			b.suspend(name, b.deputyRate(b.at)*k.part*k.overlap(b.at, to).Seconds())
+		}
 		b.at = to
 	}
-	b.level = math.Max(0, math.Min(b.level, b.room()))
+	b.cap()
+}
+
+// suspend takes off what a deputy may have handed out.
+func (b *bucket) suspend(name string, count float64) {
+	if count > 0 {
+		b.level -= count
+		b.refundable[name] += count
+	}
+}
+
+// cap keeps the level, and what may be added to it, within the room.
+func (b *bucket) cap() {
+	room := b.room()
+	b.level = math.Min(b.level, room)
+	sum := 0.0
+	for _, count := range b.refundable {
+		sum += count
+	}
+	if left := room - b.level; sum > left {
+		for name := range b.refundable {
+			b.refundable[name] *= math.Max(0, left) / sum
+		}
+	}
+}
+
+// settle ends the time in which a deputy was counted on to hand out tokens, of
+// which it used so many; ones that did not say have used all. From then on it
+// may hand out tokens since from.
+func (b *bucket) settle(name string, used uint64, said bool, from time.Time) {
+	if said {
+		b.level += math.Max(0, b.refundable[name]-float64(used))
+	}
+	delete(b.refundable, name)
+	k := b.deputies[name]
+	if from.Before(b.at) {
+		b.suspend(name, b.deputyRate(b.at)*k.part*b.at.Sub(from).Seconds())
+	}
+	b.cap()
 }
 
 // report takes what became of batches; the bucket must be refilled up to now,
@@ -116,6 +182,7 @@
 		batch.spent = max(batch.spent, min(s.Count, batch.count))
 		if s.Closed {
 			b.level += float64(batch.count - batch.spent)
+			b.asked -= float64(batch.count - batch.spent)
 			delete(b.batches, s.Batch)
 		}
 	}
@@ -148,7 +215,7 @@
 	if age < lendAhead {
 		return
 	}
-	b.demand += demandWeight * (b.asked/age.Seconds() - b.demand)
+	b.demand += demandWeight * (math.Max(0, b.asked)/age.Seconds() - b.demand)
 	b.asked, b.askedAt = 0, now
 }
 
@@ -169,8 +236,7 @@
 	if b.part.Rate <= 0 {
 		return term
 	}
-	_, _, demand := b.grants.sums("")
 	least := time.Duration(math.Min(1/b.part.Rate, 60) * float64(time.Second))
-	over := time.Duration(math.Max(0, demand/b.part.Rate-1) * float64(longWait))
+	over := time.Duration(math.Max(0, b.demand/b.part.Rate-1) * float64(longWait))
 	return max(least, min(shortWait+over, mostWait))
 }
--- /dev/null
+++ b/pkg/limiter/deputy.go
@@ -0,0 +1,276 @@
+package limiter
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// standbyPoll is the time between two requests of a deputy to a holder.
+	standbyPoll = 100 * time.Millisecond
+	// standbyDelay is how long a deputy waits after the last reply of a holder
+	// before it hands out tokens in its place: two polls and their way, so that
+	// a holder in reach never has to count on it.
+	standbyDelay = 250 * time.Millisecond
+	// standbyHold is how long after its last poll it may do so: longer than it
+	// takes until another holder follows.
+	standbyHold = 6 * time.Second
+	// standbyTerm is how long its tokens may be spent; the node that asked has
+	// callers waiting for them.
+	standbyTerm = askTimeout
+	// standbySaved is the time for which it keeps what nobody asked for.
+	standbySaved = 250 * time.Millisecond
+)
+
+// deputy hands out a part of each team's rate while the holder of the team's
+// shard is out of reach. The holder counts, from standbyDelay after the last
+// reply that the deputy is known to have received, on all of that part being
+// used, and takes back what was not once they are in touch again.
+type deputy struct {
+	clock    timekeeper.Clock
+	config   *enforcer.Enforcer
+	voters   Voters
+	instance string
+	centre   string
+	session  uint64
+
+	mu     sync.Mutex
+	shards map[int]*standby
+	teams  map[string]*standbyBucket
+	peers  map[string]*peer
+	// resigned is when the deputy last got the lease of a shard itself.
+	resigned map[int]time.Time
+}
+
+// standby is what a deputy may hand out of the teams of one shard.
+type standby struct {
+	// heard is when a holder of the shard last answered.
+	heard  time.Time
+	expiry time.Time
+	part   float64
+	// config was in force when the part was granted.
+	config *enforcer.Config
+}
+
+// standbyBucket is what it has of one team.
+type standbyBucket struct {
+	// opens is when the bucket began to fill.
+	opens time.Time
+	at    time.Time
+	level float64
+	total uint64
+}
+
+// peer is a possible holder that the deputy polls.
+type peer struct {
+	session  uint64
+	sequence uint64
+	answered uint64
+	// reported are the totals that it is known to have.
+	reported map[string]uint64
+}
+
+func newDeputy(clock timekeeper.Clock, config *enforcer.Enforcer, voters Voters, instance, centre string, session uint64) *deputy {
+	return &deputy{
+		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session,
+		shards: map[int]*standby{}, teams: map[string]*standbyBucket{}, peers: map[string]*peer{}, resigned: map[int]time.Time{},
+	}
+}
+
+// run polls the possible holders until the context ends.
+func (d *deputy) run(ctx context.Context) {
+	for {
+		d.poll(ctx, nil)
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.clock.After(standbyPoll):
+		}
+	}
+}
+
+// poll asks all other witnesses of a limit that is held whole; group, when
+// given, waits for the answers.
+func (d *deputy) poll(ctx context.Context, group *sync.WaitGroup) {
+	c := d.config.Current()
+	if !deputized(c, d.centre, d.instance) {
+		return
+	}
+	for _, w := range c.Witnesses("") {
+		if w == d.instance {
+			continue
+		}
+		p := &pollRound{deputy: d, holder: w, config: c, group: group}
+		if group != nil {
+			group.Add(1)
+		}
+		go p.run(ctx)
+	}
+}
+
+// deputized tells whether the limits of a data centre are held whole, by the
+// witness itself or with it as a deputy.
+func deputized(c *enforcer.Config, centre, instance string) bool {
+	if c.Version() == 0 || c.Domain(centre) != "" {
+		return false
+	}
+	for _, w := range c.Witnesses("") {
+		if w == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// pollRound is one request to one possible holder.
+type pollRound struct {
+	deputy *deputy
+	holder string
+	config *enforcer.Config
+	group  *sync.WaitGroup
+}
+
+func (p *pollRound) run(ctx context.Context) {
+	if p.group != nil {
+		defer p.group.Done()
+	}
+	for p.once(ctx) {
+	}
+}
+
+// once returns true when the holder should hear at once that it has been heard.
+func (p *pollRound) once(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, standbyDelay)
+	defer cancel()
+	sent, request := p.deputy.request(p.holder, p.config)
+	reply, err := p.deputy.voters.Standby(ctx, p.holder, request)
+	if err != nil {
+		// The deputy goes by how long it has not been answered.
+		return false
+	}
+	return p.deputy.heard(p.holder, sent, p.config, request, reply)
+}
+
+// request tells a holder what has been handed out that it may not know of.
+func (d *deputy) request(holder string, c *enforcer.Config) (time.Time, *control.StandbyRequest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.peers[holder]
+	if !ok {
+		p = &peer{reported: map[string]uint64{}}
+		d.peers[holder] = p
+	}
+	p.sequence++
+	r := &control.StandbyRequest{
+		Instance: d.instance, Session: d.session, Sequence: p.sequence, Peer: p.session, Answered: p.answered, Version: c.Version(),
+	}
+	for team, b := range d.teams {
+		if b.total != p.reported[team] {
+			r.Used = append(r.Used, &control.Used{Team: team, Total: b.total})
+		}
+	}
+	return d.clock.Now(), r
+}
+
+// heard takes the reply of a holder. It returns true when the deputy had to
+// count the holder of a shard as lost until then.
+func (d *deputy) heard(holder string, sent time.Time, c *enforcer.Config, r *control.StandbyRequest, reply *control.StandbyReply) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.peers[holder]
+	if p.session != reply.Session {
+		p.session, p.answered, p.reported = reply.Session, 0, map[string]uint64{}
+	}
+	newest := r.Sequence > p.answered
+	if newest {
+		p.answered = r.Sequence
+		for _, u := range r.Used {
+			p.reported[u.Team] = u.Total
+		}
+	}
+	now := d.clock.Now()
+	lost := false
+	for _, number := range reply.Shards {
+		if resigned, ok := d.resigned[int(number)]; ok && !sent.After(resigned) {
+			continue
+		}
+		s, ok := d.shards[int(number)]
+		if !ok {
+			s = &standby{}
+			d.shards[int(number)] = s
+		}
+		lost = lost || !now.Before(s.heard.Add(standbyDelay))
+		s.heard = now
+		if newest && reply.Hold > 0 {
+			s.expiry = sent.Add(time.Duration(reply.Hold) * time.Millisecond)
+			s.part, s.config = reply.Part, c
+		}
+	}
+	return lost
+}
+
+// resign drops what the deputy may hand out of a shard whose lease it got, also
+// what is on its way.
+func (d *deputy) resign(shard int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.shards, shard)
+	d.resigned[shard] = d.clock.Now()
+}
+
+// tokens answers a node in place of a holder that is out of reach.
+func (d *deputy) tokens(now time.Time, c *enforcer.Config, r *control.TokensRequest, id uint64) *control.TokensReply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.shards[Shard(r.Team)]
+	if !ok || !now.Before(s.expiry) {
+		return &control.TokensReply{Absent: true}
+	}
+	opens := s.heard.Add(standbyDelay)
+	if now.Before(opens) {
+		return &control.TokensReply{Absent: true, Wait: uint32(opens.Sub(now).Milliseconds()) + 1}
+	}
+	// The holder counts on the rate at which the part was granted.
+	limit := min(Divide(s.config.Declaration(), r.Team, "").Rate, Divide(c.Declaration(), r.Team, "").Rate)
+	b, ok := d.teams[r.Team]
+	if !ok {
+		b = &standbyBucket{}
+		d.teams[r.Team] = b
+	}
+	b.fill(now, opens, s.part*limit)
+	given := uint32(math.Min(float64(r.Count), math.Floor(b.level)))
+	if given == 0 {
+		return &control.TokensReply{Absent: true, Wait: uint32(shortWait.Milliseconds())}
+	}
+	b.level -= float64(given)
+	b.total += uint64(given)
+	return &control.TokensReply{
+		Count: given, Term: uint32(standbyTerm.Milliseconds()), Batch: id, Holder: d.instance, Version: c.Version(),
+	}
+}
+
+// fill brings the level up to now; what was saved before opens is forfeit.
+func (b *standbyBucket) fill(now, opens time.Time, rate float64) {
+	if !b.opens.Equal(opens) {
+		b.opens, b.at, b.level = opens, opens, 0
+	}
+	if now.After(b.at) {
+		b.level += rate * now.Sub(b.at).Seconds()
+		b.at = now
+	}
+	b.level = math.Min(b.level, saved(rate, standbySaved))
+}
+
+// saved is the most that is kept of a rate.
+func saved(rate float64, keep time.Duration) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	return math.Max(1, rate*keep.Seconds())
+}
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -21,11 +20,11 @@
 	// HolderVersion asks the holder of a shard in another data centre for the
 	// version that it has in force; 0 when there is none.
 	HolderVersion(ctx context.Context, centre, team string) uint64
-	// Holdings asks all nodes what they hold of a shard, and counts those that
-	// do not answer.
-	Holdings(ctx context.Context, shard int) (statements []Statement, silent int)
-	// Nodes counts the nodes that may ask for grants.
-	Nodes() int
+	// Forget makes all nodes drop the tokens of a shard's former holder, and
+	// tells whether all have answered.
+	Forget(ctx context.Context, shard int) bool
+	// Standby asks a possible holder, by instance name, what a deputy may do.
+	Standby(ctx context.Context, instance string, r *control.StandbyRequest) (*control.StandbyReply, error)
 }
 
 // shardCount is the number of leases of a data centre. It never changes, so
@@ -61,10 +60,14 @@
 	// opens is when the buckets of a shard begin to fill: tokens that a former
 	// holder handed out have expired by then.
 	opens map[int]time.Time
-	// inherited is what is known of the grants of a shard's former holder.
-	inherited map[int]*inheritance
-	buckets   map[string]*bucket
-	nextID    uint64
+	// confirmed tells that a majority of the witnesses of a limit that is held
+	// whole knows that this instance opens the buckets of the shard.
+	confirmed map[int]bool
+	// deputies of a shard, by instance, since its lease began.
+	deputies map[int]map[string]*contact
+	deputy   *deputy
+	buckets  map[string]*bucket
+	nextID   uint64
 	// denials counts how often this instance has said that it holds no lease.
 	denials uint64
 	// reached is the version that each data centre is known to have in force
@@ -78,12 +81,16 @@
 		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session,
 		// Batches of a former life must not be taken for those of this one.
 		nextID: session << batchBits,
-		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, inherited: map[int]*inheritance{}, versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
+		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, confirmed: map[int]bool{}, deputies: map[int]map[string]*contact{}, deputy: newDeputy(clock, config, voters, instance, centre, session), versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
 	}
 }
 
-// Run keeps leases and learns how far other data centres are.
-func (h *Holder) Run(ctx context.Context) { h.loop(ctx) }
+// Run keeps leases, stands by for those of others, and learns how far other data
+// centres are.
+func (h *Holder) Run(ctx context.Context) {
+	go h.deputy.run(ctx)
+	h.loop(ctx)
+}
 
 func (h *Holder) loop(ctx context.Context) {
 	for {
@@ -138,7 +145,8 @@
 	version := c.Version()
 	sent := h.clock.Now()
 	request := &control.LeaseRequest{Name: LeaseName(c.Domain(h.centre), shard), Instance: h.instance, Version: version, Session: h.session}
-	if !h.holdsShard(shard) {
+	request.Open = h.holdsShard(shard)
+	if !request.Open {
 		if sent.Before(h.retryAt(shard)) {
 			return
 		}
@@ -148,9 +156,13 @@
 		}
 	}
 	denials := h.denied()
-	if h.countVotes(ctx, witnesses, request) > len(witnesses)/2 && h.denied() == denials {
-		if h.hold(shard, sent, version) && c.Domain(h.centre) == "" {
-			h.inherit(ctx, shard)
+	votes, former := h.countVotes(ctx, witnesses, request)
+	if votes > len(witnesses)/2 && h.denied() == denials {
+		switch {
+		case h.hold(shard, sent, version, former) && c.Domain(h.centre) == "":
+			h.open(ctx, shard, witnesses, request)
+		case request.Open:
+			h.confirm(shard)
 		}
 		return
 	}
@@ -170,32 +182,44 @@
 	voters  Voters
 	witness string
 	request *control.LeaseRequest
-	granted chan bool
+	replies chan *control.LeaseReply
 }
 
 func (b *ballot) run(ctx context.Context) {
 	reply, err := b.voters.Lease(ctx, b.witness, b.request)
-	b.granted <- err == nil && reply.Granted
+	if err != nil {
+		reply = &control.LeaseReply{}
+	}
+	b.replies <- reply
 }
 
-func (h *Holder) countVotes(ctx context.Context, witnesses []string, request *control.LeaseRequest) int {
+// countVotes counts until there is a majority. former is the instance that all
+// of these know as the last one that opened buckets, if they agree: no other can
+// have done so since, as it would have told a majority before.
+func (h *Holder) countVotes(ctx context.Context, witnesses []string, request *control.LeaseRequest) (count int, former string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	granted := make(chan bool, len(witnesses))
+	replies := make(chan *control.LeaseReply, len(witnesses))
 	for _, w := range witnesses {
-		b := &ballot{voters: h.voters, witness: w, request: request, granted: granted}
+		b := &ballot{voters: h.voters, witness: w, request: request, replies: replies}
 		go b.run(ctx)
 	}
-	count := 0
 	for range witnesses {
-		if <-granted {
-			count++
+		reply := <-replies
+		if !reply.Granted {
+			continue
+		}
+		if count++; count == 1 {
+			former = reply.Former
+		}
+		if reply.Former != former {
+			former = ""
 		}
 		if count > len(witnesses)/2 {
 			break
 		}
 	}
-	return count
+	return count, former
 }
 
 // Holding tells whether this instance holds a lease, and gives up those that
@@ -222,7 +246,7 @@
 // hold notes the lease, counted from when the first vote was asked for. After
 // a gap, or at first, all buckets of the shard start empty, and it returns
 // true.
-func (h *Holder) hold(shard int, sent time.Time, version uint64) bool {
+func (h *Holder) hold(shard int, sent time.Time, version uint64, former string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -230,27 +254,136 @@
 	if fresh {
 		h.dropShard(shard)
 		h.opens[shard] = now.Add(term + drift)
-		// Until nodes have been asked, any of them may hold anything.
-		h.inherited[shard] = &inheritance{silent: 1, nodes: 1, until: now.Add(hold + drift)}
+		h.confirmed[shard] = false
+		h.deputies[shard] = h.inherit(now, former)
+		h.deputy.resign(shard)
 	}
 	h.leases[shard] = sent.Add(leaseTerm - leaseDrift)
 	h.versions[shard] = version
 	return fresh
 }
 
-// inherit asks all nodes what they hold from former holders of a shard.
-func (h *Holder) inherit(ctx context.Context, shard int) {
-	statements, silent := h.voters.Holdings(ctx, shard)
+// inherit lists the deputies of a limit that is held whole. Until they have been
+// in touch, all of them may be handing out tokens for the former holder, but for
+// that one itself.
+func (h *Holder) inherit(now time.Time, former string) map[string]*contact {
+	deputies := map[string]*contact{}
+	c := h.config.Current()
+	if !deputized(c, h.centre, h.instance) {
+		return deputies
+	}
+	for _, w := range c.Witnesses("") {
+		switch w {
+		case h.instance:
+		case former:
+			deputies[w] = newContact()
+		default:
+			deputies[w] = inheritContact(now.Add(standbyHold+drift), deputyPart(c))
+		}
+	}
+	return deputies
+}
+
+// deputyPart is the part of a team's rate that each deputy stands by with.
+func deputyPart(c *enforcer.Config) float64 {
+	return 1 / float64(max(1, len(c.Witnesses(""))-1))
+}
+
+// open lets the buckets of a shard fill at once, when no node has tokens of a
+// former holder any more.
+func (h *Holder) open(ctx context.Context, shard int, witnesses []string, r *control.LeaseRequest) {
+	if votes, _ := h.countVotes(ctx, witnesses, &control.LeaseRequest{Name: r.Name, Instance: r.Instance, Version: r.Version, Session: r.Session, Open: true}); votes > len(witnesses)/2 {
+		h.confirm(shard)
+	}
+	if !h.voters.Forget(ctx, shard) {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	i := h.inherited[shard]
-	i.statements, i.silent, i.nodes = statements, silent, len(statements)+silent
-	if silent == 0 && i.nodes > 0 {
-		// Nodes drop the batches of former holders when they are asked.
-		h.opens[shard] = h.clock.Now()
-	}
-	// Buckets that were made meanwhile took the worst for granted.
-	h.dropShard(shard)
+	if now := h.clock.Now(); now.Before(h.opens[shard]) {
+		h.opens[shard] = now
+	}
+}
+
+// confirm notes that a majority of the witnesses knows that this instance opens
+// its buckets.
+func (h *Holder) confirm(shard int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.confirmed[shard] = true
+}
+
+// closed is how long the buckets of a shard stay closed; 0 when they are open.
+func (h *Holder) closed(now time.Time, shard int, whole bool) time.Duration {
+	if now.Before(h.opens[shard]) {
+		return h.opens[shard].Sub(now)
+	}
+	if whole && !h.confirmed[shard] {
+		return renewPeriod
+	}
+	return 0
+}
+
+// Standby answers a deputy.
+func (h *Holder) Standby(r *control.StandbyRequest) *control.StandbyReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	c := h.config.Current()
+	reply := &control.StandbyReply{Session: h.session}
+	if !deputized(c, h.centre, h.instance) {
+		return reply
+	}
+	// A deputy goes by its own version of the limits.
+	grants := slices.Contains(c.Witnesses(""), r.Instance) && r.Version <= c.Version()
+	if grants {
+		reply.Hold, reply.Part = uint32(standbyHold.Milliseconds()), deputyPart(c)
+	}
+	for shard, until := range h.leases {
+		if !now.Before(until) || h.closed(now, shard, true) > 0 {
+			continue
+		}
+		if h.contact(now, c, shard, r, grants) {
+			reply.Shards = append(reply.Shards, uint32(shard))
+		}
+	}
+	return reply
+}
+
+// contact notes that a deputy of a shard was in touch.
+func (h *Holder) contact(now time.Time, c *enforcer.Config, shard int, r *control.StandbyRequest, grants bool) bool {
+	k, ok := h.deputies[shard][r.Instance]
+	if !ok {
+		k = inheritContact(now.Add(standbyHold+drift), deputyPart(c))
+		h.deputies[shard][r.Instance] = k
+	}
+	if k.former[r.Session] {
+		return false
+	}
+	if k.session != r.Session {
+		// What its former life used it can no longer say.
+		h.settle(now, c, shard, r.Instance, now, false)
+		k.restart(now, r.Session)
+	}
+	if base, ok := k.receive(now, r, h.session); ok {
+		h.settle(now, c, shard, r.Instance, base, !k.inherited)
+		k.advance(now, base)
+	}
+	if grants {
+		k.grant(now, deputyPart(c))
+	}
+	return true
+}
+
+// settle corrects the buckets of a shard by what a deputy said that it used.
+func (h *Holder) settle(now time.Time, c *enforcer.Config, shard int, instance string, base time.Time, said bool) {
+	k := h.deputies[shard][instance]
+	for team, b := range h.buckets {
+		if Shard(team) == shard {
+			b.refill(now, h.part(c, team))
+			b.settle(instance, k.totals[team]-k.settled[team], said, base.Add(standbyDelay-drift))
+		}
+	}
 }
 
 func (h *Holder) dropShard(shard int) {
@@ -274,42 +407,28 @@
 	now := h.clock.Now()
 	c := h.config.Current()
 	if !now.Before(h.leases[Shard(r.Team)]) {
-		return &control.TokensReply{Absent: true}
+		if r.Loan || !deputized(c, h.centre, h.instance) {
+			return &control.TokensReply{Absent: true}
+		}
+		h.nextID++
+		return h.deputy.tokens(now, c, r, h.nextID)
 	}
-	// Divided limits are small and lent between data centres; only a limit that
-	// is held whole is granted to nodes.
-	granting := c.Domain(h.centre) == ""
-	if opens := h.opens[Shard(r.Team)]; now.Before(opens) && r.Held == 0 {
+	if closed := h.closed(now, Shard(r.Team), c.Domain(h.centre) == ""); closed > 0 {
 		// Nobody is over a rate yet: the lease has just begun.
-		return &control.TokensReply{Absent: true, Wait: uint32(opens.Sub(now).Milliseconds()) + 1}
+		return &control.TokensReply{Absent: true, Wait: uint32(closed.Milliseconds()) + 1}
 	}
 	b, ok := h.buckets[r.Team]
 	if !ok {
-		b = newBucket(h.opens[Shard(r.Team)], h.part(c, r.Team))
-		if granting {
-			h.inherited[Shard(r.Team)].apply(b, r.Team)
-			b.granted = b.grantedNow(now)
-		}
+		b = newBucket(h.opens[Shard(r.Team)], h.part(c, r.Team), h.deputies[Shard(r.Team)])
 		h.buckets[r.Team] = b
 	}
 	b.refill(now, h.part(c, r.Team))
 	b.report(r.Spent)
-	if granting {
-		b.level = math.Max(0, math.Min(b.level+math.Max(r.Returned, 0), b.room()))
-	}
 	h.nextID++
-	var rate float64
-	var holdFor time.Duration
-	if granting && (r.Demand > 0 || r.Held > 0) {
-		holdFor = hold
-		rate = b.grant(now, r, h.voters.Nodes())
-		b.granted = math.Max(b.granted, b.grantedNow(now))
-	}
 	given := b.give(now, h.nextID, r.Count, r.Loan)
 	reply := &control.TokensReply{
 		Count: given, Term: uint32(term.Milliseconds()), Batch: h.nextID,
 		Holder: h.instance, Version: h.versions[Shard(r.Team)],
-		Rate: rate, Hold: uint32(holdFor.Milliseconds()),
 	}
 	if given == 0 {
 		reply.Wait = uint32(b.wait().Milliseconds())
--- a/pkg/limiter/model_test.go
+++ b/pkg/limiter/model_test.go
@@ -170,9 +170,11 @@
 	return 0
 }
 
-func (v *voters) Holdings(context.Context, int) ([]limiter.Statement, int) { return nil, 0 }
+func (v *voters) Forget(context.Context, int) bool { return false }
 
-func (v *voters) Nodes() int { return len(v.fleet.instances) }
+func (v *voters) Standby(context.Context, string, *control.StandbyRequest) (*control.StandbyReply, error) {
+	return nil, errCut
+}
 
 // An event is one thing that may happen to an instance.
 type event func(f *fleet, i *instance)
--- a/pkg/limiter/spender.go
+++ b/pkg/limiter/spender.go
@@ -77,10 +77,9 @@
 
 // Limits tells a spender what the configuration in force says of a team.
 type Limits interface {
-	// Limit is that of the whole fleet.
-	Limit(team string) Part
-	// Reserve is the rate that this node may use while it reaches no holder.
-	Reserve(team string) float64
+	// Reserve is what this node may use while it reaches neither a holder nor a
+	// deputy.
+	Reserve(team string) Reserve
 }
 
 // Spender spends tokens on one node.
@@ -92,44 +91,33 @@
 	centre   string
 	version  func() uint64
 	limits   Limits
-	session  uint64
 
 	mu     sync.Mutex
 	caches map[string]*tokenCache
-	// stated is when a holder of a shard was last told what this node holds.
-	stated [shardCount]time.Time
+	// forgotten is when the tokens of a shard were last dropped for a new holder.
+	forgotten [shardCount]time.Time
 }
 
-// Holding tells a new holder what this node holds of a shard. Answers to what
-// was asked of others before no longer raise it.
-func (s *Spender) Holding(shard int) *control.HoldingReply {
+// Forget drops the tokens of a shard's former holder, those that are still on
+// their way included.
+func (s *Spender) Forget(shard int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now()
-	reply := &control.HoldingReply{Session: s.session}
 	if shard < 0 || shard >= shardCount {
-		return reply
+		return
 	}
-	s.stated[shard] = now
+	s.forgotten[shard] = s.clock.Now()
 	for team, p := range s.caches {
-		if Shard(team) != shard {
-			continue
-		}
-		// What former holders handed out in batches is not spent any more.
-		p.batches, p.reports = nil, map[string][]*control.Spent{}
-		if rate := p.allowed.held(now); rate > 0 {
-			reply.Held = append(reply.Held, &control.Held{
-				Team: team, Rate: rate, Left: uint32(p.allowed.expiry.Sub(now).Milliseconds()),
-			})
+		if Shard(team) == shard {
+			p.batches, p.reports = nil, map[string][]*control.Spent{}
 		}
 	}
-	return reply
 }
 
-// NewSpender makes a spender for a node; session names this life of it.
-func NewSpender(clock timekeeper.Clock, holders Holders, spread Spread, instance, centre string, session uint64, version func() uint64, limits Limits) *Spender {
+// NewSpender makes a spender for a node.
+func NewSpender(clock timekeeper.Clock, holders Holders, spread Spread, instance, centre string, version func() uint64, limits Limits) *Spender {
 	return &Spender{
-		clock: clock, holders: holders, spread: spread, instance: instance, centre: centre, session: session,
+		clock: clock, holders: holders, spread: spread, instance: instance, centre: centre,
 		version: version, limits: limits, caches: map[string]*tokenCache{},
 	}
 }
@@ -141,11 +129,6 @@
 	p := s.cache(team)
 	now := s.clock.Now()
 	p.warm(now)
-	if p.allowed.take(now, s.limits.Limit(team).Rate) {
-		s.renew(ctx, team, p, now)
-		s.mu.Unlock()
-		return nil
-	}
 	if p.take(now) {
 		s.restock(ctx, team, p, now)
 		s.mu.Unlock()
@@ -170,54 +153,12 @@
 
 // barredError refuses without asking, or takes from the reserve.
 func (s *Spender) barredError(team string, p *tokenCache, now time.Time) error {
-	if p.missed && s.takeReserve(team, p, now) {
+	if p.missed && p.reserved.take(now, s.limits.Reserve(team)) {
 		return nil
 	}
 	return &RateError{Team: team, Wait: p.wait, Unreachable: p.missed}
 }
 
-func (s *Spender) takeReserve(team string, p *tokenCache, now time.Time) bool {
-	rate := s.limits.Reserve(team)
-	if rate != p.reserved.rate {
-		p.reserved.set(now, rate, now, rate)
-	}
-	p.reserved.expiry = now.Add(hold)
-	return p.reserved.take(now, rate)
-}
-
-const (
-	// renewPause is the time between two requests for a grant.
-	renewPause = 1200 * time.Millisecond
-	// renewSoon is that time while the demand is soonFactor times what is held.
-	renewSoon  = 300 * time.Millisecond
-	soonFactor = 1.5
-	// steadyWeight is that of the newest window in the steady heat.
-	steadyWeight = 0.15
-	// leastSteady is the heat, in requests per second, from which a node asks
-	// for a grant.
-	leastSteady = 0.4
-)
-
-// demand is the rate that the node would like to be granted.
-func (s *Spender) demand(p *tokenCache) float64 {
-	if _, ok := s.spread.(ByHeat); !ok || p.steady < leastSteady {
-		return 0
-	}
-	return p.steady
-}
-
-// renew asks for a grant when it is time to.
-func (s *Spender) renew(ctx context.Context, team string, p *tokenCache, now time.Time) {
-	demand, held := s.demand(p), p.allowed.held(now)
-	pause := renewPause
-	if demand > held*soonFactor {
-		pause = renewSoon
-	}
-	if now.Sub(p.renewed) >= pause && (demand > 0 || held > 0) {
-		s.startAsk(ctx, team, p)
-	}
-}
-
 func (s *Spender) cache(team string) *tokenCache {
 	p, ok := s.caches[team]
 	if !ok {
@@ -235,8 +176,6 @@
 		return
 	}
 	p.heat += heatWeight * (p.counted/age.Seconds() - p.heat)
-	p.windows++
-	p.steady += max(steadyWeight, 1/p.windows) * (p.counted/age.Seconds() - p.steady)
 	p.counted, p.countedAt = 0, now
 }
 
@@ -272,7 +211,6 @@
 	if now.Before(p.barred) {
 		return
 	}
-	s.renew(ctx, team, p, now)
 	// An empty cache also reports at once, so that the bucket fills again.
 	if left := p.left(); left == 0 || left*2 < s.ahead(p) {
 		s.startAsk(ctx, team, p)
@@ -287,8 +225,7 @@
 	case Everywhere:
 		return everywhereBatch
 	}
-	beyond := math.Max(0, p.heat-p.allowed.held(s.clock.Now()))
-	return uint32(math.Min(beyond*aheadTime.Seconds(), maxBatch))
+	return uint32(math.Min(p.heat*aheadTime.Seconds(), maxBatch))
 }
 
 // wanted is how many tokens to ask for. When several requests wait the team is
@@ -323,7 +260,6 @@
 	for team, p := range s.caches {
 		p.closeIdle(now)
 		p.cool(now)
-		s.renew(ctx, team, p, now)
 		for centre, reports := range p.reports {
 			parcels = append(parcels, parcel{team, centre, reports})
 		}
--- a/pkg/limiter/token_cache.go
+++ b/pkg/limiter/token_cache.go
@@ -30,16 +30,8 @@
 	// barred is until when the team is refused without asking.
 	barred time.Time
 	wait   time.Duration
-	// steady is the heat over a longer time, for grants.
-	steady float64
-	// windows counts those that steady was measured over.
-	windows float64
-	// allowed is what the node may admit on its own.
-	allowed allowance
-	// renewed is when a grant was last asked for.
-	renewed time.Time
 	// reserved is used while no holder is in reach.
-	reserved allowance
+	reserved reserve
 	// missed tells that the last ask reached no holder.
 	missed bool
 }
--- a/pkg/limiter/witness.go
+++ b/pkg/limiter/witness.go
@@ -21,7 +21,9 @@
 type vote struct {
 	holder  string
 	session uint64
-	expiry  time.Time
+	// opened is the last instance that was about to open buckets.
+	opened string
+	expiry time.Time
 	// version is the highest that any holder had.
 	version uint64
 }
@@ -80,5 +82,9 @@
 	}
 	v.holder, v.session, v.version = r.Instance, r.Session, r.Version
 	v.expiry = now.Add(leaseTerm)
-	return &control.LeaseReply{Granted: true, Holder: r.Instance}
+	reply := &control.LeaseReply{Granted: true, Holder: r.Instance, Former: v.opened}
+	if r.Open {
+		v.opened = r.Instance
+	}
+	return reply
 }
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -170,7 +170,8 @@
 	d.holders[name] = instance
 }
 
-// order lists the witnesses, the likely holder first.
+// order lists the witnesses, the likely holder first, then the deputy in the own
+// data centre, which a cut leaves in reach.
 func (d *directory) order(name string, shard int, witnesses []string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -181,19 +182,23 @@
 	if !ok {
 		first = witnesses[shard%len(witnesses)]
 	}
-	list := []string{first}
-	for _, w := range witnesses {
-		if w != first {
-			list = append(list, w)
-		}
-	}
 	now := d.clock.Now()
-	silent := func(w string) int {
-		if at, ok := d.doubted[w]; ok && now.Sub(at) < doubtTime {
+	rank := func(w string) int {
+		e := d.gossip.Member(w)
+		at, doubted := d.doubted[w]
+		switch {
+		case doubted && now.Sub(at) < doubtTime:
+			return 3
+		case w == first:
+			return 0
+		case e != nil && e.Centre == d.centre:
 			return 1
 		}
-		return 0
+		return 2
 	}
-	slices.SortStableFunc(list, func(a, b string) int { return silent(a) - silent(b) })
+	// Each shard begins with another witness, so that one deputy is not asked
+	// for all.
+	list := append(slices.Clone(witnesses[shard%len(witnesses):]), witnesses[:shard%len(witnesses)]...)
+	slices.SortStableFunc(list, func(a, b string) int { return rank(a) - rank(b) })
 	return list
 }
--- a/pkg/server/limits.go
+++ b/pkg/server/limits.go
@@ -9,16 +9,11 @@
 // tolerance in the settings.
 type limits struct{ server *Server }
 
-// Limit implements limiter.Limits.
-func (l *limits) Limit(team string) limiter.Part {
-	t := l.server.config.Current().Declaration().Teams[team]
-	return limiter.Part{Rate: t.Rate, Burst: t.Burst}
-}
-
 // Reserve implements limiter.Limits.
-func (l *limits) Reserve(team string) float64 {
+func (l *limits) Reserve(team string) limiter.Reserve {
 	overage := l.server.live.Load().Overage
-	return limiter.Reserve(l.Limit(team), overage.Window.Duration, overage.Ratio, overage.Slack, l.server.directory.size())
+	t := l.server.config.Current().Declaration().Teams[team]
+	return limiter.NewReserve(limiter.Part{Rate: t.Rate, Burst: t.Burst}, overage.Window.Duration, overage.Ratio, overage.Slack, l.server.directory.size())
 }
 
 // retries bounds the second sends of this node by its part of what the
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -191,7 +191,7 @@
 	s.proposer = replicator.NewProposer(s.caller, s.clock, s.settings.Instance+"/"+life, newRandom(), s.offer)
 	s.witness = limiter.NewWitness(s.clock, s.source.Version)
 	s.holder = limiter.NewHolder(s.clock, s.config, s.directory, s.settings.Instance, s.settings.Centre, rand.Uint64())
-	s.spender = limiter.NewSpender(s.clock, s.directory, limiter.ByHeat{}, s.settings.Instance, s.settings.Centre, rand.Uint64(), s.source.Version, &limits{s})
+	s.spender = limiter.NewSpender(s.clock, s.directory, limiter.ByHeat{}, s.settings.Instance, s.settings.Centre, s.source.Version, &limits{s})
 	s.config.Subscribe(func(c *enforcer.Config) {
 		d := c.Declaration()
 		s.log.Info("inforce", "version", c.Version(), "revision", c.Revision(), "epoch", c.Value().Epoch,
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -116,9 +116,15 @@
 	return p.server.holder.Tokens(r), nil
 }
 
-// Holding implements control.Peer.
-func (p *peerService) Holding(_ context.Context, r *control.HoldingRequest) (*control.HoldingReply, error) {
-	return p.server.spender.Holding(int(r.Shard)), nil
+// Standby implements control.Peer.
+func (p *peerService) Standby(_ context.Context, r *control.StandbyRequest) (*control.StandbyReply, error) {
+	return p.server.holder.Standby(r), nil
+}
+
+// Forget implements control.Peer.
+func (p *peerService) Forget(_ context.Context, r *control.ForgetRequest) (*control.ForgetReply, error) {
+	p.server.spender.Forget(int(r.Shard))
+	return &control.ForgetReply{}, nil
 }
 
 // Lease implements control.Peer.
