Limits: a deputy waits for 400 ms, not 250

Change: 400 ms: two polls of 100 ms and as much again for their way. The first moment of an outage is the reserve's.

--- a/pkg/limiter/deputy.go
+++ b/pkg/limiter/deputy.go
@@ -17,7 +17,7 @@
 	// standbyDelay is how long a deputy waits after the last reply of a holder
 	// before it hands out tokens in its place: two polls and their way, so that
 	// a holder in reach never has to count on it.
-	standbyDelay = 250 * time.Millisecond
+	standbyDelay = 400 * time.Millisecond
 	// standbyHold is how long after its last poll it may do so: longer than it
 	// takes until another holder follows.
 	standbyHold = 6 * time.Second
