Links: requests without a body go over own connections

The transport of net/http hands each request to two goroutines of the connection. Change: where links are plain, requests without a body are written and read by the goroutine that sends them, with the connector that targets are reached by. Ruled out: the collector (at 400 percent 5 in 100 less processor, twice the memory); the log (one write for many lines).

--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// idleTime is how long a connection is kept when the target names no time.
-	idleTime = 5 * time.Second
+	// TargetIdle is how long a connection to a target is kept that names no time:
+	// the shortest that servers commonly keep theirs.
+	TargetIdle = 5 * time.Second
 	// idleMargin is kept from the time that the target names, for what is on
 	// its way when the target closes the connection.
 	idleMargin = time.Second
@@ -52,9 +53,11 @@
 // Judge tells whether an answer belongs to the request that was sent.
 type Judge func(*http.Response) bool
 
-// Connector keeps the idle connections to targets by address.
+// Connector keeps the idle connections to other ends by address.
 type Connector struct {
 	clock timekeeper.Clock
+	// idle time of connections whose other end names none.
+	idleTime time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -62,9 +65,10 @@
 	dialed int64
 }
 
-// New makes a connector.
-func New(clock timekeeper.Clock) *Connector {
-	return &Connector{clock: clock, idle: map[string][]*conn{}}
+// New makes a connector; idle is how long it keeps a connection when the other
+// end names no time.
+func New(clock timekeeper.Clock, idle time.Duration) *Connector {
+	return &Connector{clock: clock, idleTime: idle, idle: map[string][]*conn{}}
 }
 
 // Dialed is how many connections were made.
@@ -285,7 +289,7 @@
 		x.conn.Close()
 		return
 	}
-	idle := keepAlive(response.Header)
+	idle := x.connector.keepAlive(response.Header)
 	if idle <= 0 {
 		x.conn.Close()
 		return
@@ -298,8 +302,8 @@
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// keepAlive is how long a connection may be idle, by what the target says.
-func keepAlive(h http.Header) time.Duration {
+// keepAlive is how long a connection may be idle, by what the other end says.
+func (c *Connector) keepAlive(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if !strings.EqualFold(name, "timeout") {
@@ -309,7 +313,7 @@
 			return time.Duration(seconds)*time.Second - idleMargin
 		}
 	}
-	return idleTime
+	return c.idleTime
 }
 
 // answerBody gives the connection back at the end of the body.
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -53,7 +53,10 @@
 	// Dialect is how callers and targets speak.
 	Dialect Dialect
 	// Link reaches other nodes, at addresses with LinkScheme.
-	Link       http.RoundTripper
+	Link http.RoundTripper
+	// ShortLink, when given, takes requests without a body in place of Link: it
+	// writes and reads without handing the request to other goroutines.
+	ShortLink  *connector.Connector
 	LinkScheme string
 	// TargetLink reaches the own target.
 	TargetLink *connector.Connector
--- a/pkg/forwarder/links.go
+++ b/pkg/forwarder/links.go
@@ -15,7 +15,9 @@
 
 const (
 	dialTimeout = time.Second
-	idleTimeout = 60 * time.Second
+	// LinkIdle is how long idle connections to other nodes are kept; less than
+	// their listeners keep them.
+	LinkIdle = 60 * time.Second
 	// linkIdle bounds the idle connections to one other node.
 	linkIdle = 32
 	// neverContinue makes a sender wait for the other node's word before it
@@ -50,7 +52,7 @@
 func NewLink(settings *tls.Config) *http.Transport {
 	return &http.Transport{
 		DialContext: dialCounted, TLSClientConfig: settings, TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: linkIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxIdleConnsPerHost: linkIdle, IdleConnTimeout: LinkIdle, DisableCompression: true,
 		ExpectContinueTimeout: neverContinue, MaxResponseHeaderBytes: maxAnswerHeader,
 	}
 }
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/router"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -182,19 +183,33 @@
 	ctx, cancel := context.WithCancelCause(x.Context())
 	a.cancel = func() { cancel(context.Canceled) }
 	timer := a.startTimer(x, cancel)
-	watch := &sent{}
 	part := x.budget.Hand()
-	request := a.request(watch.watch(ctx), x, part)
+	request := a.request(ctx, x, part)
 	x.sends++
-	response, err := f.deps.Link.RoundTrip(request)
+	response, sent, err := f.roundTrip(ctx, request)
 	timer.Stop()
 	if err != nil {
-		a.fail(x, watch, err, context.Cause(ctx))
+		a.fail(x, sent, err, context.Cause(ctx))
 		return
 	}
 	a.take(x, response, part)
 }
 
+// roundTrip sends a request to another node. Without an answer it tells whether
+// a byte of the request may have gone out.
+func (f *Forwarder) roundTrip(ctx context.Context, r *http.Request) (response *http.Response, maySent bool, err error) {
+	if r.ContentLength == 0 && f.deps.ShortLink != nil {
+		r.Body = nil
+		response, err := f.deps.ShortLink.Do(ctx, r.URL.Host, r, nil)
+		var broken *connector.Error
+		return response, !errors.As(err, &broken) || broken.Sent, err
+	}
+	watch := &sent{}
+	once(r)
+	response, err = f.deps.Link.RoundTrip(r.WithContext(watch.watch(ctx)))
+	return response, watch.any(), err
+}
+
 // errDeadline is the cause of a cancelled attempt whose time is over.
 var errDeadline = errors.New("deadline passed")
 
@@ -219,7 +234,6 @@
 		URL:   &url.URL{Scheme: a.filter.forwarder.deps.LinkScheme, Host: a.target.Address, Path: x.request.URL.Path, RawPath: x.request.URL.RawPath, RawQuery: x.request.URL.RawQuery},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	once(r)
 	return r.WithContext(ctx)
 }
 
@@ -232,16 +246,16 @@
 }
 
 // fail takes an attempt that got no answer.
-func (a *attempt) fail(x *Exchange, watch *sent, err, cause error) {
+func (a *attempt) fail(x *Exchange, sent bool, err, cause error) {
 	a.effect = router.Failed
 	late := errors.Is(cause, errDeadline)
 	if x.Context().Err() != nil {
 		a.effect = router.Good
 	}
 	switch {
-	case !watch.any() && late:
+	case !sent && late:
 		a.result = &notRun{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent")}
-	case !watch.any():
+	case !sent:
 		a.effect = router.Unreachable
 		a.result = &notRun{refusal: refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetWait, "the node of instance %s cannot be reached", a.target.Instance)}
 	case late:
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -222,7 +222,7 @@
 // buildPath makes the data path.
 func (s *Server) buildPath() {
 	s.admitter = admitter.New(s.clock, ruleOf(s.settings.Rule))
-	s.connector = connector.New(s.clock)
+	s.connector = connector.New(s.clock, connector.TargetIdle)
 	claimer := deduplicator.NewClaimer(s.clock, s.caller, func() (uint64, []*control.Member) {
 		v := s.config.Current().Value()
 		return v.Epoch, v.Replicas
@@ -232,6 +232,7 @@
 		Limiter: s.spender, Claimer: claimer, Admitter: s.admitter, Count: s.count, Observer: s.measurer,
 		Router:     router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom()),
 		Link:       forwarder.NewLink(s.sealer.Client()),
+		ShortLink:  s.shortLink(),
 		LinkScheme: s.linkScheme(), Dialect: s.face.Dialect,
 		TargetLink:  s.connector,
 		Service:     s.ownService,
@@ -245,6 +246,14 @@
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 }
 
+// shortLink sends requests without a body to other nodes where links are plain.
+func (s *Server) shortLink() *connector.Connector {
+	if s.settings.Links != configurer.LinksPlain {
+		return nil
+	}
+	return connector.New(s.clock, forwarder.LinkIdle)
+}
+
 func (s *Server) linkScheme() string {
 	if s.sealer.IsPlain() {
 		return "http"
