Placing: requests go to another data centre when the own targets are full

All of its calls began in one data centre, whose own target had every call, a queue and a level of 4,700; targets elsewhere were used only after a refusal. Change: a target's node reports its load with each answer; from 0.85 of the limit on, a request goes to another data centre whose target is less loaded. Ruled out: the stop of nodes and the withdrawal of targets, which only moved where the calls began; the concurrency limit (at its most, 23 of 24).

--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -45,7 +45,7 @@
 
 // setLevel tells the node before this one what is better refused at the entry.
 func (a *admitFilter) setLevel(x *Exchange) {
-	setLevel(x, a.forwarder.deps.Admitter.Level(), 0)
+	setLevel(x, a.forwarder.deps.Admitter.Load(), 0)
 }
 
 // millisecondsUp rounds up, so that a short time does not become none.
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -96,7 +96,7 @@
 func (d *deliverFilter) fail(x *Exchange, err, cause error, flight *Flight) {
 	f := d.forwarder
 	x.cause = err
-	setLevel(x, f.deps.Admitter.Level(), flight.heardLevel())
+	setLevel(x, f.deps.Admitter.Load(), flight.heardLevel())
 	var broken *connector.Error
 	sent := !errors.As(err, &broken) || broken.Sent
 	switch {
@@ -121,7 +121,7 @@
 func (d *deliverFilter) pass(x *Exchange, flight *Flight, r *http.Response, verdict Verdict, cancel context.CancelCauseFunc) {
 	f := d.forwarder
 	removeOwn(r.Header)
-	setLevel(x, f.deps.Admitter.Level(), flight.heardLevel())
+	setLevel(x, f.deps.Admitter.Load(), flight.heardLevel())
 	switch verdict {
 	case Declined, Misdirected:
 		if verdict == Misdirected {
@@ -166,7 +166,15 @@
 }
 
 // setLevel tells the node before this one below which priority requests are
-// better refused at the entry: by this node, or by what was heard from below.
-func setLevel(x *Exchange, own, below admitter.Priority) {
-	x.writer.Header().Set(headerLevel, strconv.FormatUint(uint64(max(own, below)), 10))
+// better refused at the entry, by this node or by what was heard from below, and
+// how far the own target is loaded.
+func setLevel(x *Exchange, load admitter.Load, below admitter.Priority) {
+	h := x.writer.Header()
+	h.Set(headerLevel, strconv.FormatUint(uint64(max(load.Level, below)), 10))
+	h.Set(headerLoad, strconv.Itoa(percentOf(load)))
+}
+
+// percentOf is what is in use and waiting, in hundredths of the limit.
+func percentOf(l admitter.Load) int {
+	return (l.Inflight + l.Queued) * 100 / max(l.Limit, 1)
 }
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -30,10 +30,12 @@
 	// HeaderReplay marks the stored answer of an earlier sender.
 	HeaderReplay = "Primrose-Replay"
 
-	// headerHop, headerRetries and headerLevel are used between nodes only.
+	// headerHop, headerRetries, headerLevel and headerLoad are used between nodes
+	// only.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
+	headerLoad    = "Primrose-Load"
 
 	// headerTeam tells a target which team a request runs for.
 	headerTeam = "Primrose-Team"
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -278,6 +278,9 @@
 	if level, err := strconv.ParseUint(r.Header.Get(headerLevel), 10, 16); err == nil {
 		f.hearLevel(x, admitter.Priority(level), a.filter.now())
 	}
+	if load, err := strconv.Atoi(r.Header.Get(headerLoad)); err == nil {
+		f.deps.Router.Heard(a.target.Instance, float64(load)/100)
+	}
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
 		a.effect = router.Shed
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -32,6 +32,14 @@
 	rampFloor = 0.1
 	// timeWeight is that of the newest request in the average time.
 	timeWeight = 0.2
+	// fullLoad is the part of its limit from which a target counts as full:
+	// requests begin to wait there, as arrivals clump.
+	fullLoad = 0.85
+	// loadMargin is by how much less another data centre's target must be loaded
+	// to be worth the way there.
+	loadMargin = 0.1
+	// loadAge is how long what a target said of its load counts.
+	loadAge = 500 * time.Millisecond
 )
 
 // Result is how an attempt went, as far as the choice of targets matters.
@@ -58,6 +66,9 @@
 	spell    time.Duration
 	since    time.Time
 	shedAt   time.Time
+	// load is the part of its limit that a target had in use and waiting.
+	load   float64
+	loadAt time.Time
 }
 
 // Router chooses targets. Members are given with each choice, so the router
@@ -77,8 +88,9 @@
 	return &Router{clock: clock, instance: instance, centre: centre, random: random, seen: map[string]*experience{}}
 }
 
-// Choose picks a target's entry among members, preferring the own data centre
-// and targets not tried yet for this request. It returns nil if there is none.
+// Choose picks a target's entry among members, preferring targets not tried yet
+// for this request and, unless its targets are full, the own data centre. It
+// returns nil if there is none.
 func (r *Router) Choose(members []*control.Entry, tried map[string]bool) *control.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -87,10 +99,16 @@
 	for _, group := range [][]*control.Entry{fresh, members} {
 		local := r.subset(filter(group, func(e *control.Entry) bool { return e.Centre == r.centre }))
 		remote := r.subset(filter(group, func(e *control.Entry) bool { return e.Centre != r.centre }))
-		for _, place := range [][]*control.Entry{local, remote} {
-			if e := r.pick(r.usable(place, now), now); e != nil {
-				return r.begin(e)
-			}
+		near := r.pick(r.usable(local, now), now)
+		if near != nil && r.load(near, now) < fullLoad {
+			return r.begin(near)
+		}
+		far := r.pick(r.usable(remote, now), now)
+		if near != nil && (far == nil || r.load(far, now) > r.load(near, now)-loadMargin) {
+			return r.begin(near)
+		}
+		if far != nil {
+			return r.begin(far)
 		}
 	}
 	// All are ejected: any is better than none.
@@ -152,6 +170,28 @@
 	return score / math.Max(1, float64(e.Slots))
 }
 
+// load is the part of its limit that a target has in use, as far as is known.
+func (r *Router) load(e *control.Entry, now time.Time) float64 {
+	x := r.experience(e.Instance)
+	load := 0.0
+	if now.Sub(x.loadAt) < loadAge {
+		load = x.load
+	}
+	if now.Sub(x.shedAt) < loadAge {
+		load = max(load, 1)
+	}
+	return load
+}
+
+// Heard takes the load that a target's node reports: the part of its limit that
+// is in use and waiting.
+func (r *Router) Heard(instance string, load float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.experience(instance)
+	x.load, x.loadAt = load, r.clock.Now()
+}
+
 func (r *Router) experience(instance string) *experience {
 	x, ok := r.seen[instance]
 	if !ok {
