--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -59,7 +59,9 @@
 	replica                     bool
 	options                     []string
 	fault                       string
-	daemon, stand               *exec.Cmd
+	// ready is the address of the readiness check, when there is one.
+	ready         string
+	daemon, stand *exec.Cmd
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -110,6 +112,9 @@
 		"instance": n.name, "centre": n.centre, "listen": n.listen, "peer": n.peer, "admin": n.admin,
 		"secret": f.path("secret"), "replicas": f.replicas(), "seeds": f.replicas(),
 	}
+	if n.ready != "" {
+		settings["ready"] = n.ready
+	}
 	if n.replica {
 		settings["data"] = f.path(n.name + ".data")
 	}
