Log: a caller that went away has a reason of its own

Change: reason gone, not run or unknown by whether a byte was sent; targets were not blamed for it before either.

--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -108,8 +108,7 @@
 	case errors.Is(cause, errDeadline):
 		x.refuse(lost(http.StatusGatewayTimeout, "the deadline passed before the answer came"))
 	case x.Context().Err() != nil:
-		// The caller has gone away; nobody hears this.
-		x.refuse(lost(http.StatusBadGateway, "the caller went away"))
+		x.refuse(gone(Unknown))
 	default:
 		f.flights.broke(x.hop.Digest, d.now())
 		f.deps.Suspect(x.target)
--- a/pkg/forwarder/rate_filter.go
+++ b/pkg/forwarder/rate_filter.go
@@ -31,6 +31,6 @@
 		wait := returnWait(max(over.Wait, time.Millisecond), time.Duration(x.hop.Objective)*time.Microsecond)
 		x.refuse(refuse(http.StatusTooManyRequests, ReasonRate, wait, "%v", over))
 	default:
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDeadline, 0, "the caller went away"))
+		x.refuse(gone(NotRun))
 	}
 }
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -71,6 +71,8 @@
 	ReasonQuorum   Reason = "quorum"
 	ReasonContact  Reason = "contact"
 	ReasonLost     Reason = "lost"
+	// ReasonGone stands for requests whose caller went away before the answer.
+	ReasonGone Reason = "gone"
 	// ReasonDeclined stands for requests that reached a target, which says that
 	// it has not run them.
 	ReasonDeclined Reason = "declined"
@@ -103,6 +105,11 @@
 	return &Refusal{Status: status, Reason: ReasonLost, Outcome: Unknown, Text: fmt.Sprintf(format, args...)}
 }
 
+// gone ends a request that nobody waits for any more.
+func gone(outcome Outcome) *Refusal {
+	return &Refusal{Status: http.StatusBadGateway, Reason: ReasonGone, Outcome: outcome, Text: "the caller went away"}
+}
+
 // body is the JSON form of a refusal.
 type body struct {
 	Outcome Outcome `json:"outcome"`
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -253,6 +253,10 @@
 		a.effect = router.Good
 	}
 	switch {
+	case !late && x.Context().Err() != nil && sent:
+		a.result = &broken{refusal: gone(Unknown)}
+	case !late && x.Context().Err() != nil:
+		a.result = &notRun{refusal: gone(NotRun)}
 	case !sent && late:
 		a.result = &notRun{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent")}
 	case !sent:
