The setting connections is applied again

Change: a request in work has one connection, so that the setting bounds the slots that a node uses. The platform's template leaves the bound to the slots. Test: TestConnectionsAreBounded, 20 of 3 before.

--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -308,7 +308,8 @@
 	if t == nil {
 		s.log.Info("target_gone")
 	} else {
-		s.admitter.Announce(t.Slots, cold)
+		// Each request in a slot has a connection of its own.
+		s.admitter.Announce(min(t.Slots, s.settings.Connections), cold)
 		s.log.Info("target", "service", t.Service, "address", t.Address, "slots", t.Slots, "life", t.Life, "cold", cold)
 	}
 	s.gossip.Change(func(e *control.Entry) {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -60,7 +60,9 @@
 	options                     []string
 	fault                       string
 	// ready is the address of the readiness check, when there is one.
-	ready         string
+	ready string
+	// connections bounds those to the target, when set.
+	connections   int
 	daemon, stand *exec.Cmd
 }
 
@@ -115,6 +117,9 @@
 	if n.ready != "" {
 		settings["ready"] = n.ready
 	}
+	if n.connections > 0 {
+		settings["connections"] = n.connections
+	}
 	if n.replica {
 		settings["data"] = f.path(n.name + ".data")
 	}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -134,6 +136,36 @@
 	f.Assert(c.ask("GET", "/open", nil, nil).status, qt.Equals, 503)
 }
 
+// TestConnectionsAreBounded sends more requests at a time than there may be
+// connections to the target, which has slots for all of them.
+func TestConnectionsAreBounded(t *testing.T) {
+	f := newFleet(t)
+	a := f.add("a", "east", true, "-service", "back", "-slots", "50", "-time", "100ms")
+	a.connections = 3
+	f.add("b", "east", true)
+	f.add("c", "west", true)
+	f.start()
+	a.declare(`{
+  "routes": [{"name": "open", "path": "/open", "service": "back", "open": true}]
+}`)
+	f.until("the target is known", func() bool { return a.ask("GET", "/open", nil, nil).status == 200 })
+	var group sync.WaitGroup
+	for range 20 {
+		group.Go(func() { a.ask("GET", "/open", nil, nil) })
+	}
+	group.Wait()
+	response, err := newClient().Get("http://" + a.admin + "/metrics")
+	f.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	f.Assert(err, qt.IsNil)
+	made := regexp.MustCompile(`(?m)^primrose_target_connections ([0-9]+)$`).FindSubmatch(text)
+	f.Assert(made, qt.HasLen, 2)
+	count, err := strconv.Atoi(string(made[1]))
+	f.Assert(err, qt.IsNil)
+	f.Assert(count >= 1 && count <= 3, qt.IsTrue, qt.Commentf("%d", count))
+}
+
 // load sends requests until it is stopped and counts what was not served.
 type load struct {
 	node     *node
