Log: who holds limits, and who hands out tokens in its place

Cause: after a lost holder nothing in the logs said who held the limits of a team at a moment, or that deputies had stepped in; only refusals showed it. Change: replicas log hold, hold_confirmed, hold_doubted, standby and standby_end with the shard, the former holder and how long a holder was silent. One line a change, none a request.

--- a/pkg/limiter/deputy.go
+++ b/pkg/limiter/deputy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math"
 	"sync"
 	"time"
@@ -39,6 +40,7 @@
 	instance string
 	centre   string
 	session  uint64
+	log      *slog.Logger
 
 	mu     sync.Mutex
 	shards map[int]*standby
@@ -56,6 +58,8 @@
 	part   float64
 	// config was in force when the part was granted.
 	config *enforcer.Config
+	// used tells that tokens were handed out since heard.
+	used bool
 }
 
 // standbyBucket is what it has of one team.
@@ -76,9 +80,9 @@
 	reported map[string]uint64
 }
 
-func newDeputy(clock timekeeper.Clock, config *enforcer.Enforcer, voters Voters, instance, centre string, session uint64) *deputy {
+func newDeputy(clock timekeeper.Clock, config *enforcer.Enforcer, voters Voters, instance, centre string, session uint64, log *slog.Logger) *deputy {
 	return &deputy{
-		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session,
+		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session, log: log,
 		shards: map[int]*standby{}, teams: map[string]*standbyBucket{}, peers: map[string]*peer{}, resigned: map[int]time.Time{},
 	}
 }
@@ -206,7 +210,10 @@
 			d.shards[int(number)] = s
 		}
 		lost = lost || !now.Before(s.heard.Add(standbyDelay))
-		s.heard = now
+		if s.used {
+			d.log.Info("standby_end", "shard", number, "holder", holder, "silent", now.Sub(s.heard))
+		}
+		s.heard, s.used = now, false
 		if newest && reply.Hold > 0 {
 			s.expiry = sent.Add(time.Duration(reply.Hold) * time.Millisecond)
 			s.part, s.config = reply.Part, c
@@ -248,6 +255,10 @@
 	if given == 0 {
 		return &control.TokensReply{Absent: true, Wait: uint32(shortWait.Milliseconds())}
 	}
+	if !s.used {
+		s.used = true
+		d.log.Warn("standby", "shard", Shard(r.Team), "silent", now.Sub(s.heard), "part", s.part, "left", s.expiry.Sub(now))
+	}
 	b.level -= float64(given)
 	b.total += uint64(given)
 	return &control.TokensReply{
--- a/pkg/limiter/deputy_test.go
+++ b/pkg/limiter/deputy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -105,7 +106,7 @@
 		panic(err)
 	}
 	w.witness = NewWitness(f.clock, func() uint64 { return 1 })
-	w.holder = NewHolder(f.clock, w.config, w, w.name, "", w.session)
+	w.holder = NewHolder(f.clock, w.config, w, w.name, "", w.session, slog.New(slog.DiscardHandler))
 }
 
 func (f *wholeFleet) find(name string) *wholeWitness {
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +51,7 @@
 	instance string
 	centre   string
 	session  uint64
+	log      *slog.Logger
 
 	mu      sync.Mutex
 	leases  map[int]time.Time
@@ -76,12 +78,12 @@
 }
 
 // NewHolder makes a holder; session names this life of the process.
-func NewHolder(clock timekeeper.Clock, config *enforcer.Enforcer, voters Voters, instance, centre string, session uint64) *Holder {
+func NewHolder(clock timekeeper.Clock, config *enforcer.Enforcer, voters Voters, instance, centre string, session uint64, log *slog.Logger) *Holder {
 	return &Holder{
-		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session,
+		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session, log: log,
 		// Batches of a former life must not be taken for those of this one.
 		nextID: session << batchBits,
-		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, confirmed: map[int]bool{}, deputies: map[int]map[string]*contact{}, deputy: newDeputy(clock, config, voters, instance, centre, session), versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
+		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, confirmed: map[int]bool{}, deputies: map[int]map[string]*contact{}, deputy: newDeputy(clock, config, voters, instance, centre, session, log), versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
 	}
 }
 
@@ -166,6 +168,9 @@
 		}
 		return
 	}
+	if request.Open {
+		h.log.Warn("hold_doubted", "shard", shard, "votes", votes, "witnesses", len(witnesses))
+	}
 	h.mu.Lock()
 	h.retries[shard] = h.clock.Now().Add(leaseTerm + time.Duration(rank)*renewPeriod)
 	h.mu.Unlock()
@@ -257,6 +262,7 @@
 		h.confirmed[shard] = false
 		h.deputies[shard] = h.inherit(now, former)
 		h.deputy.resign(shard)
+		h.log.Info("hold", "shard", shard, "version", version, "former", former, "opens", h.opens[shard].Sub(now))
 	}
 	h.leases[shard] = sent.Add(leaseTerm - leaseDrift)
 	h.versions[shard] = version
@@ -310,6 +316,9 @@
 func (h *Holder) confirm(shard int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !h.confirmed[shard] {
+		h.log.Info("hold_confirmed", "shard", shard)
+	}
 	h.confirmed[shard] = true
 }
 
--- a/pkg/limiter/model_test.go
+++ b/pkg/limiter/model_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -129,7 +130,7 @@
 	i.config, _ = enforcer.Open(nil, nil)
 	f.learn(i, version)
 	i.witness = limiter.NewWitness(f.clock, func() uint64 { return i.config.Current().Version() })
-	i.holder = limiter.NewHolder(f.clock, i.config, &voters{f, i}, i.name, i.centre, i.session)
+	i.holder = limiter.NewHolder(f.clock, i.config, &voters{f, i}, i.name, i.centre, i.session, slog.New(slog.DiscardHandler))
 }
 
 func (f *fleet) learn(i *instance, version int) {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -190,7 +190,7 @@
 	s.directory = &directory{gossip: s.gossip, config: s.config, caller: s.caller, centre: s.settings.Centre, clock: s.clock, holders: map[string]string{}, doubted: map[string]time.Time{}}
 	s.proposer = replicator.NewProposer(s.caller, s.clock, s.settings.Instance+"/"+life, newRandom(), s.offer)
 	s.witness = limiter.NewWitness(s.clock, s.source.Version)
-	s.holder = limiter.NewHolder(s.clock, s.config, s.directory, s.settings.Instance, s.settings.Centre, rand.Uint64())
+	s.holder = limiter.NewHolder(s.clock, s.config, s.directory, s.settings.Instance, s.settings.Centre, rand.Uint64(), s.log)
 	s.spender = limiter.NewSpender(s.clock, s.directory, limiter.ByHeat{}, s.settings.Instance, s.settings.Centre, s.source.Version, &limits{s})
 	s.config.Subscribe(func(c *enforcer.Config) {
 		d := c.Declaration()
