Gossip: a node without a configuration compares tables until it has one

Change: tables are compared every 200 ms until a configuration is in force. Ruled out: the fetch itself (10 ms). Test: TestNodeWithoutConfigurationAsksOn, one comparison in 2 s before.

--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -148,8 +148,12 @@
 		if err != nil {
 			continue
 		}
-		pause = syncPeriod
 		g.takeSync(ctx, syncer, address, reply, news)
+		// A node without a configuration can serve nothing, and the one that was
+		// asked may have none either.
+		if pause = syncPeriod; g.source.Version() == 0 {
+			pause = syncSoon
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/gossiper/sync_test.go
@@ -0,0 +1,68 @@
+package gossiper_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/gossiper"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// starter is a node that has just started, and what it asks of others.
+type starter struct {
+	version atomic.Uint64
+	syncs   atomic.Int64
+}
+
+// Version implements gossiper.Source.
+func (s *starter) Version() uint64 { return s.version.Load() }
+
+// Hear implements gossiper.Source.
+func (s *starter) Hear(uint64, string) {}
+
+// Merge implements gossiper.Source.
+func (s *starter) Merge([][]byte, []*control.Suspect) ([][]byte, []*control.Suspect) {
+	return nil, nil
+}
+
+// Send implements gossiper.Carrier.
+func (s *starter) Send(string, *control.Packet) {}
+
+// Digest implements gossiper.News.
+func (s *starter) Digest() uint64 { return 0 }
+
+// All implements gossiper.News.
+func (s *starter) All() ([][]byte, []*control.Suspect) { return nil, nil }
+
+// Sync implements gossiper.Syncer, as another node without a configuration.
+func (s *starter) Sync(context.Context, string, *control.SyncRequest) (*control.SyncReply, error) {
+	s.syncs.Add(1)
+	return &control.SyncReply{From: "other"}, nil
+}
+
+// TestNodeWithoutConfigurationAsksOn starts a node together with all others, as
+// after a loss of power: the first that it asks knows no configuration either.
+func TestNodeWithoutConfigurationAsksOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &starter{}
+		g := gossiper.New(&control.Entry{Instance: "own", Address: "own"}, []string{"other"}, timekeeper.System{}, s, s, rand.New(rand.NewPCG(1, 1)))
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.SyncLoop(ctx, s, s)
+		time.Sleep(2100 * time.Millisecond)
+		qt.Check(t, s.syncs.Load() >= 9, qt.IsTrue, qt.Commentf("%d", s.syncs.Load()))
+		s.version.Store(1)
+		time.Sleep(250 * time.Millisecond)
+		known := s.syncs.Load()
+		time.Sleep(5 * time.Second)
+		qt.Check(t, s.syncs.Load(), qt.Equals, known)
+		cancel()
+		synctest.Wait()
+	})
+}
