--- a/pkg/server/stopping.go
+++ b/pkg/server/stopping.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/announcer"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -20,17 +19,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
-	if s.settings.Ready != "" && s.settings.Listen != "" {
-		// Callers move away once the readiness check has failed twice. Until other
-		// nodes must hear that the target leaves, it goes on working.
-		s.pause(ctx, readyMoves-announcer.Spread)
-	}
 	s.gossip.Change(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
 	if err := s.announcer.Drain(ctx); err != nil {
 		s.fail("drain", err)
 	}
 	if s.announcer.Target() == nil {
-		s.pause(ctx, announcer.Spread)
+		<-s.clock.After(announcer.Spread)
+	}
+	if s.settings.Ready != "" && s.settings.Listen != "" {
+		// Callers move away once the readiness check has failed twice.
+		select {
+		case <-s.clock.After(readyMoves - s.clock.Now().Sub(s.stopping)):
+		case <-ctx.Done():
+		}
 	}
 	for _, l := range listeners {
 		if err := l.server.Shutdown(ctx); err != nil {
@@ -38,11 +39,3 @@
 		}
 	}
 }
-
-// pause waits, at most until the context ends.
-func (s *Server) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-s.clock.After(d):
-	}
-}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -59,8 +59,6 @@
 	replica                     bool
 	options                     []string
 	fault                       string
-	// ready is the address of the readiness check, when there is one.
-	ready string
 	// connections bounds those to the target, when set.
 	connections   int
 	daemon, stand *exec.Cmd
@@ -114,9 +112,6 @@
 		"instance": n.name, "centre": n.centre, "listen": n.listen, "peer": n.peer, "admin": n.admin,
 		"secret": f.path("secret"), "replicas": f.replicas(), "seeds": f.replicas(),
 	}
-	if n.ready != "" {
-		settings["ready"] = n.ready
-	}
 	if n.connections > 0 {
 		settings["connections"] = n.connections
 	}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -112,30 +112,6 @@
 	f.Assert(len(b.seen()) > 0 && len(c.seen()) > 0, qt.IsTrue)
 }
 
-// TestStoppingNodeKeepsItsTarget stops the only node of a service whose callers
-// take some time to move away: until other nodes must hear of it, they are
-// served by its target.
-func TestStoppingNodeKeepsItsTarget(t *testing.T) {
-	f := newFleet(t)
-	a := f.add("a", "east", true, "-service", "front", "-next", "/back/deep")
-	b := f.add("b", "east", false, "-service", "back")
-	c := f.add("c", "west", true)
-	b.ready = addresses.Next()
-	f.start()
-	a.declare(`{
-  "routes": [{"name": "open", "path": "/open", "service": "back", "open": true}]
-}`)
-	f.until("the target is known", func() bool { return a.ask("GET", "/open", nil, nil).status == 200 })
-	f.signal(b.daemon, syscall.SIGTERM)
-	const kept = 1200 * time.Millisecond
-	for began := time.Now(); time.Since(began) < kept; time.Sleep(20 * time.Millisecond) {
-		f.Assert(a.ask("GET", "/open", nil, nil).status, qt.Equals, 200)
-	}
-	_, err := b.daemon.Process.Wait()
-	f.Assert(err, qt.IsNil)
-	f.Assert(c.ask("GET", "/open", nil, nil).status, qt.Equals, 503)
-}
-
 // TestConnectionsAreBounded sends more requests at a time than there may be
 // connections to the target, which has slots for all of them.
 func TestConnectionsAreBounded(t *testing.T) {
