Log and metrics of crashing requests, to tell the causes of BUDGET apart

The crash line says how many of its requests were still running, had broken, and were left out for their age; a line says when a node begins to refuse a request and for which crashes; a refusal names the digest. No decision has changed.

--- a/pkg/forwarder/decisions.go
+++ b/pkg/forwarder/decisions.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"encoding/hex"
 	"strconv"
 	"time"
 )
@@ -8,9 +9,12 @@
 // logRefusal logs a request that was refused before it was placed.
 func (f *Forwarder) logRefusal(x *Exchange, r *Refusal) {
 	f.observe(x, string(r.Outcome), string(r.Reason), f.deps.Clock.Now())
-	f.deps.Log.Info("refuse", "id", x.hop.Id, "route", x.hop.Route, "team", x.hop.Team, "rank", x.hop.Rank,
+	attrs := []any{
+		"id", x.hop.Id, "route", x.hop.Route, "team", x.hop.Team, "rank", x.hop.Rank,
 		"reason", r.Reason, "outcome", r.Outcome, "status", r.Status, "wait", r.Wait,
-		"version", x.config.Version(), "revision", x.config.Revision(), "text", r.Text)
+		"version", x.config.Version(), "revision", x.config.Revision(), "text", r.Text,
+	}
+	f.deps.Log.Info("refuse", append(attrs, digestAttrs(x, r)...)...)
 }
 
 // logEnd logs how a request that was placed ended on its entry node.
@@ -56,13 +60,22 @@
 
 // logHopRefusal logs a request that its target has not answered.
 func (f *Forwarder) logHopRefusal(x *Exchange, r *Refusal) {
-	attrs := refusalAttrs(r)
+	attrs := append(refusalAttrs(r), digestAttrs(x, r)...)
 	if x.cause != nil {
 		attrs = append(attrs, "error", x.cause.Error())
 	}
 	f.logHop(x, string(r.Outcome), string(r.Reason), attrs)
 }
 
+// digestAttrs names a request that is refused for its crashes, so that its line
+// can be found beside the decision about its digest.
+func digestAttrs(x *Exchange, r *Refusal) []any {
+	if r.Reason != ReasonPoison {
+		return nil
+	}
+	return []any{"digest", hex.EncodeToString(x.hop.Digest)}
+}
+
 // logHopAnswer logs the answer of the own target.
 func (f *Forwarder) logHopAnswer(x *Exchange, status int) {
 	f.logHop(x, "answered", strconv.Itoa(status), []any{"outcome", "answered", "status", status})
--- a/pkg/forwarder/flights.go
+++ b/pkg/forwarder/flights.go
@@ -166,24 +166,40 @@
 	f.failed = append(f.failed, failure{digest, now})
 }
 
+// Casualties are the requests that were running at a crash.
+type Casualties struct {
+	// Digests name the requests, each once.
+	Digests [][]byte
+	// Running counts requests still noted as running, Broken those whose
+	// connection had broken, and Forgotten those that broke too long ago.
+	Running, Broken, Forgotten int
+	// Oldest is the longest time since a connection broke.
+	Oldest time.Duration
+}
+
 // atCrash returns the requests that were running at a crash: those whose
 // connections have just broken and those still noted as running.
-func (f *flights) atCrash(now time.Time) [][]byte {
+func (f *flights) atCrash(now time.Time) Casualties {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c := Casualties{Running: len(f.byID)}
 	seen := map[string]bool{}
 	for _, failed := range f.failed {
-		if now.Sub(failed.at) <= failureMemory {
-			seen[string(failed.digest)] = true
+		age := now.Sub(failed.at)
+		c.Oldest = max(c.Oldest, age)
+		if age > failureMemory {
+			c.Forgotten++
+			continue
 		}
+		c.Broken++
+		seen[string(failed.digest)] = true
 	}
 	for _, fl := range f.byID {
 		seen[string(fl.hop.Digest)] = true
 	}
 	f.failed = nil
-	var list [][]byte
 	for d := range seen {
-		list = append(list, []byte(d))
+		c.Digests = append(c.Digests, []byte(d))
 	}
-	return list
+	return c
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -129,8 +129,8 @@
 // Inflight is how many requests the own target is running.
 func (f *Forwarder) Inflight() int { return f.flights.count() }
 
-// AtCrash returns the digests of the requests running at a crash just now.
-func (f *Forwarder) AtCrash() [][]byte { return f.flights.atCrash(f.deps.Clock.Now()) }
+// AtCrash returns the requests running at a crash just now.
+func (f *Forwarder) AtCrash() Casualties { return f.flights.atCrash(f.deps.Clock.Now()) }
 
 // ServeHTTP serves callers, and the own target's calls.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/pkg/gossiper/updates.go
+++ b/pkg/gossiper/updates.go
@@ -50,6 +50,13 @@
 	g.updates = append(g.updates, r)
 }
 
+// Waiting is how many updates are still to be told.
+func (g *Gossiper) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.updates)
+}
+
 // transmissions is how often an update is sent on by each node.
 func (g *Gossiper) transmissions() int {
 	return spreadFactor * bits.Len(uint(len(g.members)))
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -40,12 +40,40 @@
 
 func (s *suspect) barred() bool { return s.counting() >= crashesToBar }
 
+// Listener hears of decisions about requests, for the log. Digests and crashes
+// are those of the suspect after the decision.
+type Listener interface {
+	// Barred is called when a request is refused from now on.
+	Barred(digest []byte, crashes, cleared []string)
+}
+
 // Quarantiner is the list of suspects. The zero value works.
 type Quarantiner struct {
 	mu       sync.Mutex
+	listener Listener
 	suspects map[string]*suspect
 }
 
+// SetListener names who hears of decisions; none by default.
+func (q *Quarantiner) SetListener(l Listener) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.listener = l
+}
+
+// Count returns how many requests are suspects, and how many of them are
+// barred.
+func (q *Quarantiner) Count() (suspects, barred int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, s := range q.suspects {
+		if s.barred() {
+			barred++
+		}
+	}
+	return len(q.suspects), barred
+}
+
 // Barred tells whether a request, by its digest, is refused for good.
 func (q *Quarantiner) Barred(digest []byte) bool {
 	q.mu.Lock()
@@ -109,6 +137,9 @@
 	for _, c := range m.Cleared {
 		s.cleared[c] = true
 	}
+	if s.barred() && q.listener != nil {
+		q.listener.Barred(m.Digest, sorted(s.crashes), sorted(s.cleared))
+	}
 	return len(s.crashes)+len(s.cleared) > before
 }
 
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -107,6 +107,7 @@
 		settings: settings, clock: clock, log: log, started: clock.Now(), face: face,
 		quarantine: &quarantiner.Quarantiner{}, metrics: new(expvar.Map), sealer: sealer.Plain(),
 	}
+	s.quarantine.SetListener(&verdicts{s})
 	s.live.Store(settings)
 	s.measurer = measurer.New(s.gauges())
 	if settings.Links != configurer.LinksPlain {
@@ -323,10 +324,11 @@
 
 // Crashed implements announcer.Listener.
 func (s *Server) Crashed(crash string) {
-	digests := s.forwarder.AtCrash()
-	s.log.Warn("crash", "target", crash, "requests", len(digests))
+	lost := s.forwarder.AtCrash()
+	s.log.Warn("crash", "target", crash, "requests", len(lost.Digests), "running", lost.Running,
+		"broken", lost.Broken, "forgotten", lost.Forgotten, "oldest", lost.Oldest)
 	s.count("crashes", 1)
-	s.gossip.Tell(nil, s.quarantine.Crash(s.settings.Instance+"/"+crash, digests))
+	s.gossip.Tell(nil, s.quarantine.Crash(s.settings.Instance+"/"+crash, lost.Digests))
 }
 
 // completed clears a request that was a bystander at a crash.
