Quarantiner: copies merge in any order

Seen: a request that ran at two crashes and was answered in between is refused on some nodes and served on others, for good. Cause: a copy that was already barred took no more news, so a clearing that came after the second crash was dropped, one that came before it counted. Both sets only grow and the decision follows from them; the early return broke that. Ruled out: different news on both nodes, the test exchanges all of it.

--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -127,9 +127,7 @@
 		s = &suspect{crashes: map[string]bool{}, cleared: map[string]bool{}}
 		q.suspects[string(m.Digest)] = s
 	}
-	if s.barred() {
-		return false
-	}
+	barred := s.barred()
 	before := len(s.crashes) + len(s.cleared)
 	for _, c := range m.Crashes {
 		s.crashes[c] = true
@@ -137,7 +135,7 @@
 	for _, c := range m.Cleared {
 		s.cleared[c] = true
 	}
-	if s.barred() && q.listener != nil {
+	if s.barred() && !barred && q.listener != nil {
 		q.listener.Barred(m.Digest, sorted(s.crashes), sorted(s.cleared))
 	}
 	return len(s.crashes)+len(s.cleared) > before
