Gossip: kinds of news no longer wait behind each other; crashes in parts

Seen by callers: a request that crashes targets is sent on for many seconds (13.6 s with 300 others running at each crash, 92 nodes), and withdrawn keys and leaving targets wait with it (3.5 s). Cause: all updates shared one queue in order of arrival, each was sent 28 times before the next had its turn, and every bystander of a crash was an update of 60 bytes, with one more when it completed. Now each kind has a share of every datagram, within a kind the update sent least often goes first, and the requests of one crash travel together, eight bytes each, six times per node. One node that hears of two crashes of a request decides, and the decision, which is small, goes first. Bystanders that succeed tell nobody unless the request was refused. Ruled out: losing datagrams (the mesh loses none), more sends (the queue is what grows).

--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -146,7 +146,9 @@
 	x.setRetries()
 	f.logHopAnswer(x, r.StatusCode)
 	answer.write(x)
-	f.deps.Completed(x.hop.Digest)
+	if r.StatusCode < http.StatusBadRequest {
+		f.deps.Succeeded(x.hop.Digest)
+	}
 }
 
 // discard reads a short body that nobody needs, so that its connection can be
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -74,8 +74,8 @@
 	InContact func() bool
 	// Suspect hears that a target's connection broke.
 	Suspect func(*Target)
-	// Completed hears of every request that a target has answered.
-	Completed func(digest []byte)
+	// Succeeded hears of every request that a target has answered with success.
+	Succeeded func(digest []byte)
 	// Retries bounds what this node may send again.
 	Retries func() retrier.Bounds
 	// Draining tells that the node is about to stop.
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -30,8 +30,6 @@
 	helpers = 3
 	// fanout is how many members get an update in each tick.
 	fanout = 3
-	// spreadFactor times log2 of the fleet is how often an update is sent on.
-	spreadFactor = 4
 	// packetBytes bounds the entries in one datagram.
 	packetBytes = 1100
 	// wakeGap is a pause of the process after which its view is stale.
@@ -49,9 +47,13 @@
 	Version() uint64
 	// Hear is told that the node at address has a higher version.
 	Hear(version uint64, address string)
-	// Merge takes withdrawn keys and suspected requests that are news, and
-	// returns those that were new.
-	Merge(withdrawn [][]byte, suspects []*control.Suspect) ([][]byte, []*control.Suspect)
+	// Merge takes what another node has told and returns what is to be told on.
+	Merge(items Items) Items
+	// Digest is equal on nodes that have the same withdrawn keys and refuse the
+	// same requests.
+	Digest() uint64
+	// All returns every withdrawn key and decision.
+	All() Items
 }
 
 // Gossiper is the table of one node and its part in the gossip.
@@ -65,7 +67,7 @@
 	random   *rand.Rand
 	self     *control.Entry
 	members  map[string]*member
-	updates  []*update
+	queue    queue
 	probes   map[uint64]*probe
 	sequence uint64
 	// ring is the order in which members are probed.
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
@@ -42,7 +43,7 @@
 	frozen  bool
 	// merged counts keys that were withdrawn.
 	merged     map[string]bool
-	quarantine quarantiner.Quarantiner
+	quarantine *quarantiner.Quarantiner
 }
 
 func (m *member) Version() uint64 { return m.version }
@@ -54,25 +55,30 @@
 	}
 }
 
-func (m *member) Merge(withdrawn [][]byte, suspects []*control.Suspect) ([][]byte, []*control.Suspect) {
-	var fresh [][]byte
-	for _, w := range withdrawn {
+func (m *member) Merge(items gossiper.Items) gossiper.Items {
+	var fresh gossiper.Items
+	for _, w := range items.Withdrawn {
 		if !m.merged[string(w)] {
 			m.merged[string(w)] = true
-			fresh = append(fresh, w)
+			fresh.Withdrawn = append(fresh.Withdrawn, w)
 		}
 	}
-	return fresh, m.quarantine.Merge(suspects)
+	fresh.Suspects = m.quarantine.Merge(items.Suspects)
+	var decided []*control.Suspect
+	fresh.Crashes, decided = m.quarantine.MergeCrashes(items.Crashes)
+	fresh.Suspects = append(fresh.Suspects, decided...)
+	return fresh
 }
 
 // crash tells of a crash of the member's target.
 func (m *member) crash(id string, digests [][]byte) {
-	m.gossip.Tell(nil, m.quarantine.Crash(id, digests))
+	parts, decided := m.quarantine.Crash(xxhash.Sum64String(id), digests)
+	m.gossip.Tell(gossiper.Items{Crashes: parts, Suspects: decided})
 }
 
 // withdraw tells that a key is withdrawn.
 func (m *member) withdraw(key string) {
-	m.gossip.Tell(first(m.Merge([][]byte{[]byte(key)}, nil)), nil)
+	m.gossip.Tell(m.Merge(gossiper.Items{Withdrawn: [][]byte{[]byte(key)}}))
 }
 
 // refusing counts the members that refuse a request.
@@ -86,14 +92,14 @@
 	return count
 }
 
-func (m *member) Digest() uint64 { return uint64(len(m.merged)) }
+func (m *member) Digest() uint64 { return uint64(len(m.merged)) ^ m.quarantine.Digest() }
 
-func (m *member) All() ([][]byte, []*control.Suspect) {
-	var all [][]byte
+func (m *member) All() gossiper.Items {
+	all := gossiper.Items{Suspects: m.quarantine.All()}
 	for w := range m.merged {
-		all = append(all, []byte(w))
+		all.Withdrawn = append(all.Withdrawn, []byte(w))
 	}
-	return all, nil
+	return all
 }
 
 func (m *member) Send(address string, p *control.Packet) {
@@ -107,7 +113,7 @@
 func newMesh(size int) *mesh {
 	g := &mesh{clock: &timekeeper.Manual{}, byAdr: map[string]*member{}}
 	for i := range size {
-		m := &member{mesh: g, name: fmt.Sprintf("instance%04d", i), merged: map[string]bool{}}
+		m := &member{mesh: g, name: fmt.Sprintf("instance%04d", i), merged: map[string]bool{}, quarantine: quarantiner.New(g.clock, nil)}
 		address := fmt.Sprintf("10.0.%d.%d:7401", i/250, i%250)
 		self := &control.Entry{Instance: m.name, Centre: fmt.Sprint("centre", i%11), Address: address, Service: fmt.Sprint("service", i%190), Slots: 100}
 		m.gossip = gossiper.New(self, []string{"10.0.0.0:7401"}, g.clock, m, m, rand.New(rand.NewPCG(1, uint64(i))))
@@ -126,7 +132,7 @@
 				request.Entries = append(request.Entries, b.gossip.Self())
 			}
 		}
-		a.gossip.AnswerSync(request, a)
+		a.gossip.AnswerSync(request)
 	}
 	g.run(30 * time.Second)
 }
@@ -218,7 +224,7 @@
 	qt.Assert(t, g.nodes[0].state(g.nodes[15]), qt.Equals, control.State_STATE_DEAD)
 	// Each half learns its own versions and keys meanwhile.
 	g.nodes[0].Hear(7, "")
-	g.nodes[15].gossip.Tell(first(g.nodes[15].Merge([][]byte{[]byte("key")}, nil)), nil)
+	g.nodes[15].withdraw("key")
 	g.run(5 * time.Second)
 	g.lost = nil
 	g.run(60 * time.Second)
@@ -228,13 +234,11 @@
 	}
 }
 
-func first(fresh [][]byte, _ []*control.Suspect) [][]byte { return fresh }
-
 func TestLeavingAndNewsReachEverybody(t *testing.T) {
 	g := newMesh(100)
 	g.join()
 	g.nodes[5].gossip.Change(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
-	g.nodes[6].gossip.Tell(first(g.nodes[6].Merge([][]byte{[]byte("key")}, nil)), nil)
+	g.nodes[6].withdraw("key")
 	g.nodes[7].Hear(9, "")
 	// The promise is 2 s.
 	g.run(2 * time.Second)
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -25,14 +25,6 @@
 	Sync(ctx context.Context, address string, r *control.SyncRequest) (*control.SyncReply, error)
 }
 
-// News is the whole of what updates carry besides entries.
-type News interface {
-	// Digest is equal for equal news.
-	Digest() uint64
-	// All returns every withdrawn key and suspected request.
-	All() ([][]byte, []*control.Suspect)
-}
-
 // Receive handles one packet.
 func (g *Gossiper) Receive(p *control.Packet) {
 	g.mu.Lock()
@@ -54,7 +46,7 @@
 		last.Entries = append(last.Entries, doubted)
 	}
 	g.mu.Unlock()
-	g.mergeNews(p.Withdrawn, p.Suspects)
+	g.mergeItems(Items{Withdrawn: p.Withdrawn, Suspects: p.Suspects, Crashes: p.Crashes})
 	if p.Version > own {
 		g.source.Hear(p.Version, p.Address)
 	}
@@ -96,13 +88,11 @@
 	return []letter{{address: probe.relay, packet: g.packet(control.Kind_KIND_REPLY, probe.relaySequence)}}
 }
 
-// mergeNews passes withdrawn keys and suspects on, and spreads what was new.
-func (g *Gossiper) mergeNews(withdrawn [][]byte, suspects []*control.Suspect) {
-	if len(withdrawn) == 0 && len(suspects) == 0 {
-		return
+// mergeItems passes items on to the node, and spreads what was new.
+func (g *Gossiper) mergeItems(items Items) {
+	if !items.isEmpty() {
+		g.Tell(g.source.Merge(items))
 	}
-	fresh, freshSuspects := g.source.Merge(withdrawn, suspects)
-	g.Tell(fresh, freshSuspects)
 }
 
 func (g *Gossiper) mergeEntries(entries []*control.Entry, now time.Time) {
@@ -132,7 +122,7 @@
 }
 
 // SyncLoop compares tables with other nodes until the context ends.
-func (g *Gossiper) SyncLoop(ctx context.Context, syncer Syncer, news News) {
+func (g *Gossiper) SyncLoop(ctx context.Context, syncer Syncer) {
 	pause := syncSoon
 	for {
 		select {
@@ -144,11 +134,11 @@
 		if address == "" {
 			continue
 		}
-		reply, err := syncer.Sync(ctx, address, g.syncRequest(news.Digest()))
+		reply, err := syncer.Sync(ctx, address, g.syncRequest(g.source.Digest()))
 		if err != nil {
 			continue
 		}
-		g.takeSync(ctx, syncer, address, reply, news)
+		g.takeSync(ctx, syncer, address, reply)
 		// A node without a configuration can serve nothing, and the one that was
 		// asked may have none either.
 		if pause = syncPeriod; g.source.Version() == 0 {
@@ -181,8 +171,8 @@
 }
 
 // AnswerSync is the other side of a comparison.
-func (g *Gossiper) AnswerSync(r *control.SyncRequest, news News) *control.SyncReply {
-	digest := news.Digest()
+func (g *Gossiper) AnswerSync(r *control.SyncRequest) *control.SyncReply {
+	digest := g.source.Digest()
 	g.mu.Lock()
 	g.heard[r.From] = true
 	g.mergeEntries(r.Entries, g.clock.Now())
@@ -192,9 +182,10 @@
 	}
 	own := reply.Version
 	g.mu.Unlock()
-	g.mergeNews(r.Withdrawn, r.Suspects)
+	g.mergeItems(Items{Withdrawn: r.Withdrawn, Suspects: r.Suspects})
 	if digest != r.Withdrawals {
-		reply.Withdrawn, reply.Suspects = news.All()
+		all := g.source.All()
+		reply.Withdrawn, reply.Suspects = all.Withdrawn, all.Suspects
 	}
 	if r.Version > own {
 		g.source.Hear(r.Version, r.Address)
@@ -203,25 +194,26 @@
 }
 
 // takeSync merges the answer and sends back what the other side lacks.
-func (g *Gossiper) takeSync(ctx context.Context, syncer Syncer, address string, reply *control.SyncReply, news News) {
+func (g *Gossiper) takeSync(ctx context.Context, syncer Syncer, address string, reply *control.SyncReply) {
 	g.mu.Lock()
 	theirs := g.differing(reply.Buckets)
 	g.heard[reply.From] = true
 	g.mergeEntries(reply.Entries, g.clock.Now())
 	own := g.source.Version()
 	g.mu.Unlock()
-	g.mergeNews(reply.Withdrawn, reply.Suspects)
+	g.mergeItems(Items{Withdrawn: reply.Withdrawn, Suspects: reply.Suspects})
 	if reply.Version > own {
 		g.source.Hear(reply.Version, address)
 	}
-	digest := news.Digest()
+	digest := g.source.Digest()
 	if len(theirs) == 0 && digest == reply.Withdrawals {
 		return
 	}
 	back := g.syncRequest(digest)
 	back.Entries = append(back.Entries, theirs...)
 	if digest != reply.Withdrawals {
-		back.Withdrawn, back.Suspects = news.All()
+		all := g.source.All()
+		back.Withdrawn, back.Suspects = all.Withdrawn, all.Suspects
 	}
 	if _, err := syncer.Sync(ctx, address, back); err != nil {
 		return
--- a/pkg/gossiper/sync_test.go
+++ b/pkg/gossiper/sync_test.go
@@ -28,18 +28,16 @@
 func (s *starter) Hear(uint64, string) {}
 
 // Merge implements gossiper.Source.
-func (s *starter) Merge([][]byte, []*control.Suspect) ([][]byte, []*control.Suspect) {
-	return nil, nil
-}
+func (s *starter) Merge(gossiper.Items) gossiper.Items { return gossiper.Items{} }
 
 // Send implements gossiper.Carrier.
 func (s *starter) Send(string, *control.Packet) {}
 
-// Digest implements gossiper.News.
+// Digest implements gossiper.Source.
 func (s *starter) Digest() uint64 { return 0 }
 
-// All implements gossiper.News.
-func (s *starter) All() ([][]byte, []*control.Suspect) { return nil, nil }
+// All implements gossiper.Source.
+func (s *starter) All() gossiper.Items { return gossiper.Items{} }
 
 // Sync implements gossiper.Syncer, as another node without a configuration.
 func (s *starter) Sync(context.Context, string, *control.SyncRequest) (*control.SyncReply, error) {
@@ -54,7 +52,7 @@
 		s := &starter{}
 		g := gossiper.New(&control.Entry{Instance: "own", Address: "own"}, []string{"other"}, timekeeper.System{}, s, s, rand.New(rand.NewPCG(1, 1)))
 		ctx, cancel := context.WithCancel(t.Context())
-		go g.SyncLoop(ctx, s, s)
+		go g.SyncLoop(ctx, s)
 		time.Sleep(2100 * time.Millisecond)
 		qt.Check(t, s.syncs.Load() >= 9, qt.IsTrue, qt.Commentf("%d", s.syncs.Load()))
 		s.version.Store(1)
--- a/pkg/gossiper/updates.go
+++ b/pkg/gossiper/updates.go
@@ -8,19 +8,31 @@
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
-// update is one thing to tell, with how often it is still to be sent.
-type update struct {
-	entry     string
-	withdrawn []byte
-	suspect   *control.Suspect
-	left      int
+// Items are what updates carry besides entries.
+type Items struct {
+	// Withdrawn are hashes of withdrawn keys.
+	Withdrawn [][]byte
+	// Suspects are decisions about requests that ran at crashes.
+	Suspects []*control.Suspect
+	// Crashes are parts of crashes.
+	Crashes []*control.Crash
 }
 
-// Tell spreads withdrawn keys and suspected requests.
-func (g *Gossiper) Tell(withdrawn [][]byte, suspects []*control.Suspect) {
+func (i *Items) isEmpty() bool { return len(i.Withdrawn)+len(i.Suspects)+len(i.Crashes) == 0 }
+
+// Tell spreads items.
+func (g *Gossiper) Tell(items Items) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tellNews(withdrawn, suspects)
+	for _, h := range items.Withdrawn {
+		g.tell(&update{withdrawn: h})
+	}
+	for _, s := range items.Suspects {
+		g.tell(&update{suspect: s})
+	}
+	for _, c := range items.Crashes {
+		g.tell(&update{crash: c})
+	}
 }
 
 // TellVersion spreads that this node has a new version in force.
@@ -30,31 +42,19 @@
 	g.spread = g.transmissions()
 }
 
-func (g *Gossiper) tellNews(withdrawn [][]byte, suspects []*control.Suspect) {
-	for _, h := range withdrawn {
-		g.tell(&update{withdrawn: h})
-	}
-	for _, s := range suspects {
-		g.tell(&update{suspect: s})
+func (g *Gossiper) tell(u *update) {
+	u.left = g.transmissions()
+	if u.crash != nil {
+		u.left = crashSends
 	}
-}
-
-func (g *Gossiper) tell(r *update) {
-	r.left = g.transmissions()
-	for i, old := range g.updates {
-		if r.entry != "" && old.entry == r.entry {
-			g.updates[i] = r
-			return
-		}
-	}
-	g.updates = append(g.updates, r)
+	g.queue.add(u)
 }
 
 // Waiting is how many updates are still to be told.
 func (g *Gossiper) Waiting() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.updates)
+	return g.queue.len()
 }
 
 // transmissions is how often an update is sent on by each node.
@@ -64,7 +64,7 @@
 
 // sendUpdates sends what is to be told to a few random members.
 func (g *Gossiper) sendUpdates() []letter {
-	if len(g.updates) == 0 && g.spread == 0 {
+	if g.queue.len() == 0 && g.spread == 0 {
 		return nil
 	}
 	var out []letter
@@ -96,39 +96,13 @@
 func (g *Gossiper) packet(kind control.Kind, sequence uint64) *control.Packet {
 	p := &control.Packet{
 		Kind: kind, Sequence: sequence, From: g.self.Instance,
-		Address: g.self.Address, Version: g.source.Version(),
+		Address: g.self.Address, Version: g.source.Version(), News: g.source.Digest(),
 	}
 	if len(g.heard) == 0 || kind == control.Kind_KIND_PING {
 		p.Entries = append(p.Entries, g.self)
 	}
-	size := proto.Size(p)
-	kept := g.updates[:0]
-	for _, r := range g.updates {
-		if size < packetBytes {
-			size += g.addUpdate(p, r)
-			r.left--
-		}
-		if r.left > 0 {
-			kept = append(kept, r)
-		}
+	for _, u := range g.queue.take(packetBytes-proto.Size(p), g.size) {
+		g.putUpdate(p, u)
 	}
-	g.updates = kept
 	return p
 }
-
-func (g *Gossiper) addUpdate(p *control.Packet, r *update) int {
-	switch {
-	case r.entry != "":
-		m, ok := g.members[r.entry]
-		if !ok {
-			return 0
-		}
-		p.Entries = append(p.Entries, m.entry)
-		return proto.Size(m.entry) + 4
-	case r.suspect != nil:
-		p.Suspects = append(p.Suspects, r.suspect)
-		return proto.Size(r.suspect) + 4
-	}
-	p.Withdrawn = append(p.Withdrawn, r.withdrawn)
-	return len(r.withdrawn) + 4
-}
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -69,7 +69,7 @@
 
 // Run implements Controller.
 func (c *syncer) Run(ctx context.Context) {
-	c.server.gossip.SyncLoop(ctx, c.server.caller, c.server.source)
+	c.server.gossip.SyncLoop(ctx, c.server.caller)
 }
 
 // joiner founds the fleet, and brings this replica into the set that it
--- a/pkg/server/operator_service.go
+++ b/pkg/server/operator_service.go
@@ -14,6 +14,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/planner"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -251,7 +252,7 @@
 // data folders they are synced.
 func (s *Server) withdraw(hashes [][]byte) (uint32, error) {
 	fresh, err := s.withdrawn.Add(hashes)
-	s.gossip.Tell(fresh, nil)
+	s.gossip.Tell(gossiper.Items{Withdrawn: fresh})
 	if err != nil || s.folder == nil {
 		return 0, err
 	}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -105,9 +105,9 @@
 	}
 	s := &Server{
 		settings: settings, clock: clock, log: log, started: clock.Now(), face: face,
-		quarantine: &quarantiner.Quarantiner{}, metrics: new(expvar.Map), sealer: sealer.Plain(),
+		metrics: new(expvar.Map), sealer: sealer.Plain(),
 	}
-	s.quarantine.SetListener(&verdicts{s})
+	s.quarantine = quarantiner.New(clock, &verdicts{s})
 	s.live.Store(settings)
 	s.measurer = measurer.New(s.gauges())
 	if settings.Links != configurer.LinksPlain {
@@ -242,7 +242,7 @@
 		Target:      func() *forwarder.Target { return s.announcer.Target() },
 		Ready:       s.ready, InContact: s.inContact,
 		Suspect: func(t *forwarder.Target) { s.announcer.Suspect(t) },
-		Retries: s.retries, Completed: s.completed, Draining: s.draining.Load,
+		Retries: s.retries, Succeeded: s.succeeded, Draining: s.draining.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 }
@@ -325,16 +325,18 @@
 // Crashed implements announcer.Listener.
 func (s *Server) Crashed(crash string) {
 	lost := s.forwarder.AtCrash()
-	s.log.Warn("crash", "target", crash, "requests", len(lost.Digests), "running", lost.Running,
+	id := crashID(s.settings.Instance, crash)
+	s.log.Warn("crash", "target", crash, "crash", crashNames([]uint64{id}), "requests", len(lost.Digests), "running", lost.Running,
 		"broken", lost.Broken, "forgotten", lost.Forgotten, "oldest", lost.Oldest)
 	s.count("crashes", 1)
-	s.gossip.Tell(nil, s.quarantine.Crash(s.settings.Instance+"/"+crash, lost.Digests))
+	parts, decided := s.quarantine.Crash(id, lost.Digests)
+	s.gossip.Tell(gossiper.Items{Crashes: parts, Suspects: decided})
 }
 
-// completed clears a request that was a bystander at a crash.
-func (s *Server) completed(digest []byte) {
-	if cleared := s.quarantine.Clear(digest); cleared != nil {
-		s.gossip.Tell(nil, cleared)
+// succeeded clears a request that was a bystander at a crash.
+func (s *Server) succeeded(digest []byte) {
+	if cleared := s.quarantine.Succeed(digest); cleared != nil {
+		s.gossip.Tell(gossiper.Items{Suspects: cleared})
 	}
 }
 
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -86,7 +86,7 @@
 
 // Sync implements control.Peer.
 func (p *peerService) Sync(_ context.Context, r *control.SyncRequest) (*control.SyncReply, error) {
-	return p.server.gossip.AnswerSync(r, p.server.source), nil
+	return p.server.gossip.AnswerSync(r), nil
 }
 
 // Fetch implements control.Peer.
--- a/pkg/server/source.go
+++ b/pkg/server/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
 	"github.com/primrosewall/primrosewall/pkg/withdrawer"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -23,21 +24,25 @@
 func (s *source) Hear(version uint64, address string) { s.fetcher.want(version, address) }
 
 // Merge implements gossiper.Source.
-func (s *source) Merge(withdrawn [][]byte, suspects []*control.Suspect) ([][]byte, []*control.Suspect) {
-	var fresh [][]byte
-	if len(withdrawn) > 0 {
+func (s *source) Merge(items gossiper.Items) gossiper.Items {
+	var fresh gossiper.Items
+	if len(items.Withdrawn) > 0 {
 		var err error
-		if fresh, err = s.withdrawn.Add(withdrawn); err != nil {
+		if fresh.Withdrawn, err = s.withdrawn.Add(items.Withdrawn); err != nil {
 			s.fail("withdrawn_save", err)
 		}
 	}
-	return fresh, s.quarantine.Merge(suspects)
+	fresh.Suspects = s.quarantine.Merge(items.Suspects)
+	var decided []*control.Suspect
+	fresh.Crashes, decided = s.quarantine.MergeCrashes(items.Crashes)
+	fresh.Suspects = append(fresh.Suspects, decided...)
+	return fresh
 }
 
-// Digest implements gossiper.News.
+// Digest implements gossiper.Source.
 func (s *source) Digest() uint64 { return s.withdrawn.Digest() ^ s.quarantine.Digest() }
 
-// All implements gossiper.News.
-func (s *source) All() ([][]byte, []*control.Suspect) {
-	return s.withdrawn.All(), s.quarantine.All()
+// All implements gossiper.Source.
+func (s *source) All() gossiper.Items {
+	return gossiper.Items{Withdrawn: s.withdrawn.All(), Suspects: s.quarantine.All()}
 }
