Crashes: found late or of a leaving target, they still name their requests

Seen by callers: a request that crashes a target is not among the suspects of the crash, so that it is sent on. Cause: the list of a crash was made from what had broken within the last second when the crash was found. A crash that a refused connection does not show is found when the next life of the target reports, seconds later; one whose announcement had ended by then, or whose target was leaving, was not noted at all; a request that its caller or its deadline had ended was not remembered. Now each request that ends without an answer is remembered with the life of its target, and a crash names those that ended after the last answer of that life, however late it is found; likely causes first. A target that leaves crashes as others do until its time is over or it has said that it is gone. On the code before, TestLeavingTargetCrashes and TestCrashAfterSilence fail (no crash noted); TestCrashFoundLateNamesNobody asks for what a bound of one second dropped.

--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -51,8 +51,8 @@
 	// takes new work; cold is for how long it is slow after a start, and below
 	// 0 when it has not just started.
 	Changed(target *forwarder.Target, cold time.Duration)
-	// Crashed is called once for each crash of the target.
-	Crashed(crash string)
+	// Crashed is called once for each life of the target that has crashed.
+	Crashed(target *forwarder.Target)
 }
 
 // Announcer knows the own target.
@@ -67,6 +67,9 @@
 	expiry  time.Time
 	// crashed is the life that is known to have crashed.
 	crashed string
+	// lapsed is a target whose announcement ended without a word. When another
+	// life follows it, it has crashed.
+	lapsed *forwarder.Target
 	// last is the newest report that was taken.
 	last order
 	// ended is the life that has said that it is gone.
@@ -218,7 +221,7 @@
 	a.mu.Lock()
 	over := a.target != nil && !a.leaving && a.clock.Now().After(a.expiry)
 	if over {
-		a.target = nil
+		a.lapsed, a.target = a.target, nil
 	}
 	a.mu.Unlock()
 	if over {
@@ -302,11 +305,17 @@
 		return
 	}
 	fresh := old == nil || old.Life != said.Life
-	replaced := old != nil && fresh && !a.leaving
-	a.target, a.leaving = next, false
+	crashed := old
+	if old == nil {
+		crashed = a.lapsed
+	}
+	if crashed != nil && (crashed.Life == said.Life || a.isPlannedEnd(crashed)) {
+		crashed = nil
+	}
+	a.target, a.leaving, a.lapsed = next, false, nil
 	a.mu.Unlock()
-	if replaced {
-		a.crash(old)
+	if crashed != nil {
+		a.crash(crashed)
 	}
 	if !fresh {
 		cold = -1
@@ -356,17 +365,26 @@
 func (a *Announcer) drop(t *forwarder.Target) {
 	a.mu.Lock()
 	gone := a.target != nil && a.target.Life == t.Life
+	crashed := gone && !a.isPlannedEnd(a.target)
 	told := gone && !a.leaving
 	if gone {
 		a.target = nil
 	}
 	a.mu.Unlock()
-	if told {
+	if crashed {
 		a.crash(t)
+	}
+	if told {
 		a.listener.Changed(nil, 0)
 	}
 }
 
+// isPlannedEnd tells whether a target that is gone has said so: it has left for
+// good, or it was leaving and its time is over. a.mu is held.
+func (a *Announcer) isPlannedEnd(t *forwarder.Target) bool {
+	return a.ended == t.Life || t.Closed
+}
+
 // crash reports the crash of one life once.
 func (a *Announcer) crash(t *forwarder.Target) {
 	a.mu.Lock()
@@ -374,7 +392,7 @@
 	a.crashed = t.Life
 	a.mu.Unlock()
 	if !known {
-		a.listener.Crashed(t.Service + "/" + t.Life)
+		a.listener.Crashed(t)
 	}
 }
 
--- a/pkg/announcer/announcer_test.go
+++ b/pkg/announcer/announcer_test.go
@@ -1,6 +1,7 @@
 package announcer_test
 
 import (
+	"context"
 	"net"
 	"sync"
 	"testing"
@@ -30,10 +31,10 @@
 	}
 }
 
-func (w *watcher) Crashed(crash string) {
+func (w *watcher) Crashed(t *forwarder.Target) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.crashes = append(w.crashes, crash)
+	w.crashes = append(w.crashes, t.Service+"/"+t.Life)
 }
 
 func (w *watcher) announced() string {
@@ -160,3 +161,45 @@
 	qt.Assert(t, s.Target(), qt.IsNotNil)
 	qt.Assert(t, s.Target().Life, qt.Equals, "a/10")
 }
+
+// TestLeavingTargetCrashes loses a target before the time in which it leaves is
+// over.
+func TestLeavingTargetCrashes(t *testing.T) {
+	s := newStage()
+	s.report("a/10", 10, 1, false)
+	s.report("a/10", 10, 2, true)
+	s.Misdirected(s.Target())
+	qt.Assert(t, s.watcher.crashes, qt.DeepEquals, []string{"s/a/10"})
+}
+
+// TestPlannedEndIsNoCrash loses a target that has said that it is gone.
+func TestPlannedEndIsNoCrash(t *testing.T) {
+	s := newStage()
+	s.report("a/10", 10, 1, false)
+	s.report("a/10", 10, 2, true)
+	target := s.Target()
+	s.End("a/10", drain)
+	s.Misdirected(target)
+	s.report("b/20", 20, 1, false)
+	qt.Assert(t, s.watcher.crashes, qt.HasLen, 0)
+}
+
+// TestCrashAfterSilence lets the announcement of a target end before another
+// life of it reports.
+func TestCrashAfterSilence(t *testing.T) {
+	s := newStage()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.report("a/10", 10, 1, false)
+	go s.Run(ctx)
+	for range 2000 {
+		s.clock.Advance(time.Minute)
+		time.Sleep(time.Millisecond)
+		if s.Target() == nil {
+			break
+		}
+	}
+	qt.Assert(t, s.Target(), qt.IsNil)
+	s.report("b/20", 20, 1, false)
+	qt.Assert(t, s.watcher.crashes, qt.DeepEquals, []string{"s/a/10"})
+}
--- a/pkg/forwarder/calls_test.go
+++ b/pkg/forwarder/calls_test.go
@@ -53,7 +53,7 @@
 		}
 		open = append(open, addFlight(&f, fmt.Sprint(i), arrival, far))
 		if len(open) > 6 {
-			f.remove(open[0])
+			f.remove(open[0], far)
 			open = open[1:]
 		}
 		if arrival == "index" {
--- /dev/null
+++ b/pkg/forwarder/crash_test.go
@@ -0,0 +1,88 @@
+package forwarder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// played is a flight of a test: when it ended, and how.
+type played struct {
+	name  string
+	began time.Duration
+	ended time.Duration
+	end   end
+	life  string
+}
+
+// play runs flights and returns the requests noted for a crash of life "a".
+func play(at time.Duration, list []played) []string {
+	var f flights
+	start := time.Unix(100, 0)
+	for i, p := range list {
+		life := p.life
+		if life == "" {
+			life = "a"
+		}
+		fl := &Flight{id: fmt.Sprint(i), hop: &control.Hop{Digest: []byte(p.name)}, life: life, began: start.Add(p.began)}
+		f.add(fl)
+		if p.ended > 0 {
+			fl.end = p.end
+			f.remove(fl, start.Add(p.ended))
+		}
+	}
+	var names []string
+	for _, d := range f.atCrash("a", start.Add(at)).Digests {
+		names = append(names, string(d))
+	}
+	return names
+}
+
+// TestCrashFoundLateNamesNobody breaks connections at a crash that is found four
+// seconds later, when the next life of the target reports.
+func TestCrashFoundLateNamesNobody(t *testing.T) {
+	names := play(5*time.Second, []played{
+		{name: "answered", ended: 900 * time.Millisecond, end: endAnswered},
+		{name: "older", began: 100 * time.Millisecond, ended: time.Second, end: endBroken},
+		{name: "killer", began: 990 * time.Millisecond, ended: time.Second, end: endBroken},
+		{name: "other", ended: time.Second, end: endBroken, life: "b"},
+	})
+	qt.Assert(t, names, qt.DeepEquals, []string{"killer", "older"})
+}
+
+// TestCrashForgetsWhoseCallerLeft ends the crashing request by its caller's
+// leaving, just before the crash is found.
+func TestCrashForgetsWhoseCallerLeft(t *testing.T) {
+	names := play(1200*time.Millisecond, []played{
+		{name: "killer", began: 990 * time.Millisecond, ended: time.Second, end: endUnanswered},
+		{name: "running", began: 500 * time.Millisecond},
+	})
+	qt.Assert(t, names, qt.DeepEquals, []string{"running", "killer"})
+}
+
+// TestFailureBeforeAnAnswerIsNoCause breaks a connection long before the last
+// answer of the target that crashes.
+func TestFailureBeforeAnAnswerIsNoCause(t *testing.T) {
+	names := play(20*time.Second, []played{
+		{name: "reset", ended: time.Second, end: endBroken},
+		{name: "answered", began: 18 * time.Second, ended: 19 * time.Second, end: endAnswered},
+		{name: "killer", began: 19 * time.Second, ended: 19500 * time.Millisecond, end: endBroken},
+	})
+	qt.Assert(t, names, qt.DeepEquals, []string{"killer"})
+}
+
+// TestFailuresAreBounded keeps the newest failures.
+func TestFailuresAreBounded(t *testing.T) {
+	var list []played
+	for i := range 10 * maxFailures {
+		list = append(list, played{name: fmt.Sprint(i), ended: time.Second, end: endBroken})
+	}
+	list = append(list, played{name: "killer", began: 990 * time.Millisecond, ended: time.Second, end: endBroken})
+	names := play(2*time.Second, list)
+	qt.Assert(t, names[0], qt.Equals, "killer")
+	qt.Assert(t, len(names) <= maxFailures, qt.IsTrue)
+}
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -27,11 +27,11 @@
 	f := d.forwarder
 	ctx, cancel := context.WithCancelCause(d.context(x))
 	defer cancel(context.Canceled)
-	flight := &Flight{ctx: ctx, id: f.newID(), hop: x.hop, budget: x.budget, deadline: x.deadline, began: d.now()}
+	flight := &Flight{ctx: ctx, id: f.newID(), hop: x.hop, budget: x.budget, deadline: x.deadline, began: d.now(), life: x.target.Life}
 	f.flights.add(flight)
 	shed := false
 	defer func() {
-		f.flights.remove(flight)
+		f.flights.remove(flight, d.now())
 		x.ticket.Done(flight.callTime(), shed)
 	}()
 	timer := time.AfterFunc(x.left(d.now())+x.allowance(), func() { cancel(errDeadline) })
@@ -101,8 +101,10 @@
 	sent := !errors.As(err, &broken) || broken.Sent
 	switch {
 	case !sent && errors.Is(cause, errDeadline):
+		flight.end = endAnswered
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent"))
 	case !sent:
+		flight.end = endAnswered
 		f.deps.Suspect(x.target)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetWait, "the target cannot be reached"))
 	case errors.Is(cause, errDeadline):
@@ -110,7 +112,7 @@
 	case x.Context().Err() != nil:
 		x.refuse(gone(Unknown))
 	default:
-		f.flights.broke(x.hop.Digest, d.now())
+		flight.end = endBroken
 		f.deps.Suspect(x.target)
 		x.refuse(lost(http.StatusBadGateway, "the target's connection broke before the answer came"))
 	}
@@ -123,6 +125,7 @@
 	setLevel(x, f.deps.Admitter.Load(), flight.heardLevel())
 	switch verdict {
 	case Declined, Misdirected:
+		flight.end = endAnswered
 		if verdict == Misdirected {
 			f.deps.Misdirected(x.target)
 		}
@@ -136,7 +139,7 @@
 	}
 	answer, err := readAnswer(r)
 	if err != nil {
-		f.flights.broke(x.hop.Digest, d.now())
+		flight.end = endBroken
 		f.deps.Suspect(x.target)
 		x.cause = err
 		x.refuse(lost(http.StatusBadGateway, "the target's answer ended early"))
@@ -146,6 +149,7 @@
 	x.setRetries()
 	f.logHopAnswer(x, r.StatusCode)
 	answer.write(x)
+	flight.end = endAnswered
 	if r.StatusCode < http.StatusBadRequest {
 		f.deps.Succeeded(x.hop.Digest)
 	}
--- a/pkg/forwarder/flights.go
+++ b/pkg/forwarder/flights.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,9 @@
 	budget   *retrier.Budget
 	deadline time.Time
 	began    time.Time
+	// life is that of the target, and end how its work ended.
+	life string
+	end  end
 
 	mu sync.Mutex
 	// calls is the time during which at least one call was running.
@@ -86,17 +91,42 @@
 	mu    sync.Mutex
 	byID  map[string]*Flight
 	edges edges
-	// failed lists the digests of requests whose connection broke lately.
+	// failed lists requests that ended without an answer.
 	failed []failure
+	// answered is the life that has answered last, and answeredAt when.
+	answered   string
+	answeredAt time.Time
 }
 
+// end is how the work of a target on a request ended.
+type end int
+
+const (
+	// endUnanswered is the end of a request that its deadline or its caller ended,
+	// or that nobody has ended yet.
+	endUnanswered end = iota
+	// endBroken is that of a request whose connection broke.
+	endBroken
+	// endAnswered is that of a request with an answer, or that was not run.
+	endAnswered
+)
+
+// failure is a request that a target has left without an answer.
 type failure struct {
 	digest []byte
+	life   string
+	end    end
+	began  time.Time
 	at     time.Time
 }
 
-// failureMemory is how long a broken connection counts as part of a crash.
-const failureMemory = time.Second
+const (
+	// reorderTime is how much earlier than the last answer of a target the
+	// failures of its crash may be noted, as each request has its own goroutine.
+	reorderTime = time.Second
+	// maxFailures bounds the failures that are remembered; the oldest make room.
+	maxFailures = 512
+)
 
 func (f *flights) add(fl *Flight) {
 	f.mu.Lock()
@@ -108,10 +138,20 @@
 	f.edges.begin(fl.hop.Arrival)
 }
 
-func (f *flights) remove(fl *Flight) {
+// remove ends a flight. One without an answer is remembered, as its target may
+// be found to have crashed later.
+func (f *flights) remove(fl *Flight, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.byID, fl.id)
+	if fl.end == endAnswered {
+		f.answered, f.answeredAt = fl.life, now
+		return
+	}
+	if len(f.failed) >= maxFailures {
+		f.failed = slices.Delete(f.failed, 0, len(f.failed)/2)
+	}
+	f.failed = append(f.failed, failure{digest: fl.hop.Digest, life: fl.life, end: fl.end, began: fl.began, at: now})
 }
 
 func (f *flights) find(id string) *Flight {
@@ -159,47 +199,64 @@
 	return len(f.byID)
 }
 
-// broke notes that the connection of a request broke.
-func (f *flights) broke(digest []byte, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.failed = append(f.failed, failure{digest, now})
-}
-
 // Casualties are the requests that were running at a crash.
 type Casualties struct {
-	// Digests name the requests, each once.
+	// Digests name the requests, each once, likely causes first.
 	Digests [][]byte
 	// Running counts requests still noted as running, Broken those whose
-	// connection had broken, and Forgotten those that broke too long ago.
-	Running, Broken, Forgotten int
-	// Oldest is the longest time since a connection broke.
+	// connection had broken, Unanswered those that ended in another way, and
+	// Earlier those that ended before the last answer of the target.
+	Running, Broken, Unanswered, Earlier int
+	// Oldest is the longest time since one of them ended.
 	Oldest time.Duration
 }
 
-// atCrash returns the requests that were running at a crash: those whose
-// connections have just broken and those still noted as running.
-func (f *flights) atCrash(now time.Time) Casualties {
+// atCrash returns the requests that a life of the target has left without an
+// answer when it crashed. What ended before its last answer did not crash it.
+// How much later the crash is found does not matter.
+func (f *flights) atCrash(life string, now time.Time) Casualties {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c := Casualties{Running: len(f.byID)}
-	seen := map[string]bool{}
+	var c Casualties
+	var lost []failure
+	for _, fl := range f.byID {
+		if fl.life == life {
+			c.Running++
+			lost = append(lost, failure{digest: fl.hop.Digest, end: endBroken, began: fl.began})
+		}
+	}
 	for _, failed := range f.failed {
-		age := now.Sub(failed.at)
-		c.Oldest = max(c.Oldest, age)
-		if age > failureMemory {
-			c.Forgotten++
+		switch {
+		case failed.life != life:
 			continue
+		case f.answered == life && f.answeredAt.Sub(failed.at) > reorderTime:
+			c.Earlier++
+			continue
+		case failed.end == endBroken:
+			c.Broken++
+		default:
+			c.Unanswered++
 		}
-		c.Broken++
-		seen[string(failed.digest)] = true
-	}
-	for _, fl := range f.byID {
-		seen[string(fl.hop.Digest)] = true
+		c.Oldest = max(c.Oldest, now.Sub(failed.at))
+		lost = append(lost, failed)
 	}
-	f.failed = nil
-	for d := range seen {
-		c.Digests = append(c.Digests, []byte(d))
+	f.failed = slices.DeleteFunc(f.failed, func(failed failure) bool { return failed.life == life })
+	slices.SortStableFunc(lost, likelier)
+	seen := map[string]bool{}
+	for _, l := range lost {
+		if !seen[string(l.digest)] {
+			seen[string(l.digest)] = true
+			c.Digests = append(c.Digests, l.digest)
+		}
 	}
 	return c
 }
+
+// likelier orders causes of a crash: a broken connection says more than a
+// passed deadline, and a request that has begun shortly before says more.
+func likelier(a, b failure) int {
+	if a.end != b.end {
+		return cmp.Compare(b.end, a.end)
+	}
+	return b.began.Compare(a.began)
+}
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -129,8 +129,11 @@
 // Inflight is how many requests the own target is running.
 func (f *Forwarder) Inflight() int { return f.flights.count() }
 
-// AtCrash returns the requests running at a crash just now.
-func (f *Forwarder) AtCrash() Casualties { return f.flights.atCrash(f.deps.Clock.Now()) }
+// AtCrash returns the requests that were running when a life of the target
+// crashed.
+func (f *Forwarder) AtCrash(life string) Casualties {
+	return f.flights.atCrash(life, f.deps.Clock.Now())
+}
 
 // ServeHTTP serves callers, and the own target's calls.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -323,11 +323,11 @@
 }
 
 // Crashed implements announcer.Listener.
-func (s *Server) Crashed(crash string) {
-	lost := s.forwarder.AtCrash()
-	id := crashID(s.settings.Instance, crash)
-	s.log.Warn("crash", "target", crash, "crash", crashNames([]uint64{id}), "requests", len(lost.Digests), "running", lost.Running,
-		"broken", lost.Broken, "forgotten", lost.Forgotten, "oldest", lost.Oldest)
+func (s *Server) Crashed(t *forwarder.Target) {
+	lost := s.forwarder.AtCrash(t.Life)
+	id := crashID(s.settings.Instance, t)
+	s.log.Warn("crash", "service", t.Service, "life", t.Life, "crash", crashNames([]uint64{id}), "requests", len(lost.Digests),
+		"running", lost.Running, "broken", lost.Broken, "unanswered", lost.Unanswered, "earlier", lost.Earlier, "oldest", lost.Oldest)
 	s.count("crashes", 1)
 	parts, decided := s.quarantine.Crash(id, lost.Digests)
 	s.gossip.Tell(gossiper.Items{Crashes: parts, Suspects: decided})
--- a/pkg/server/verdicts.go
+++ b/pkg/server/verdicts.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
 )
 
@@ -25,8 +26,10 @@
 	v.server.count(counter, 1)
 }
 
-// crashID names a crash of a target beside this instance.
-func crashID(instance, crash string) uint64 { return xxhash.Sum64String(instance + "/" + crash) }
+// crashID names the crash of a target beside an instance.
+func crashID(instance string, t *forwarder.Target) uint64 {
+	return xxhash.Sum64String(instance + "/" + t.Service + "/" + t.Life)
+}
 
 func crashNames(ids []uint64) string {
 	names := make([]string, len(ids))
