Gossip: probes tell whether two nodes know the same keys and decisions

Seen by callers: a node that was started, cut off or frozen while a request was barred serves it for up to ten seconds, until tables are next compared. Cause: updates are told for a while and then no more; what a node missed came only with the comparison of tables every ten seconds. TestStartedNodeKnowsNothingForSeconds fails on the code before (no comparison before the tenth second).

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -80,6 +80,10 @@
 	heard map[string]bool
 	// replicaAt is when a replica was last heard from.
 	replicaAt time.Time
+	// differs is the address of a node that knows other keys or decisions, and
+	// lastSync when tables were last compared.
+	differs  chan string
+	lastSync time.Time
 	// generation counts changes of the table.
 	generation uint64
 }
@@ -91,6 +95,7 @@
 	g := &Gossiper{
 		clock: clock, carrier: carrier, source: source, seeds: seeds, random: random,
 		self: self, members: map[string]*member{}, probes: map[uint64]*probe{}, heard: map[string]bool{},
+		differs: make(chan string, 1),
 	}
 	g.put(self, clock.Now())
 	return g
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -16,6 +16,8 @@
 	syncPeriod = 10 * time.Second
 	// syncSoon is that time until the first one has succeeded.
 	syncSoon = 200 * time.Millisecond
+	// syncGap is the least time between comparisons that probes ask for.
+	syncGap = time.Second
 	// syncLost is how many comparisons out of ten go to a lost address.
 	syncLost = 3
 )
@@ -35,6 +37,7 @@
 		g.replicaAt = now
 	}
 	out := g.answer(p, now)
+	g.compareNews(p, now)
 	own := g.source.Version()
 	doubted := g.doubted(p.From)
 	if p.Kind == control.Kind_KIND_UPDATE && (p.Version < own || doubted != nil) {
@@ -53,6 +56,20 @@
 	g.send(out)
 }
 
+// compareNews asks for a comparison of tables with a node that knows other keys
+// or decisions than this one: it was started, cut off or frozen, or this one
+// was. Updates that are under way settle most differences before.
+func (g *Gossiper) compareNews(p *control.Packet, now time.Time) {
+	probed := p.Kind == control.Kind_KIND_PING || p.Kind == control.Kind_KIND_REPLY
+	if !probed || p.News == g.source.Digest() || now.Sub(g.lastSync) < syncGap {
+		return
+	}
+	select {
+	case g.differs <- p.Address:
+	default:
+	}
+}
+
 // doubted returns the entry of a member that is not taken for alive.
 func (g *Gossiper) doubted(instance string) *control.Entry {
 	m, ok := g.members[instance]
@@ -125,12 +142,14 @@
 func (g *Gossiper) SyncLoop(ctx context.Context, syncer Syncer) {
 	pause := syncSoon
 	for {
+		address := ""
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.clock.After(pause):
+			address = g.syncAddress()
+		case address = <-g.differs:
 		}
-		address := g.syncAddress()
 		if address == "" {
 			continue
 		}
@@ -164,6 +183,7 @@
 func (g *Gossiper) syncRequest(digest uint64) *control.SyncRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.lastSync = g.clock.Now()
 	return &control.SyncRequest{
 		From: g.self.Instance, Address: g.self.Address, Buckets: g.buckets(),
 		Entries: []*control.Entry{g.self}, Withdrawals: digest, Version: g.source.Version(),
--- a/pkg/gossiper/sync_test.go
+++ b/pkg/gossiper/sync_test.go
@@ -64,3 +64,42 @@
 		synctest.Wait()
 	})
 }
+
+// bubbleClock is the clock of a synctest bubble.
+type bubbleClock struct{}
+
+// Now implements timekeeper.Clock.
+func (bubbleClock) Now() time.Time { return time.Now() }
+
+// After implements timekeeper.Clock.
+func (bubbleClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// TestStartedNodeKnowsNothingForSeconds probes a node that has other news than
+// the one that probes it, long before the next comparison is due.
+func TestStartedNodeKnowsNothingForSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &starter{}
+		s.version.Store(1)
+		g := gossiper.New(&control.Entry{Instance: "own", Address: "own"}, []string{"other"}, bubbleClock{}, s, s, rand.New(rand.NewPCG(1, 1)))
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.SyncLoop(ctx, s)
+		time.Sleep(1500 * time.Millisecond)
+		before := s.syncs.Load()
+		probe := func(news uint64) {
+			g.Receive(&control.Packet{Kind: control.Kind_KIND_PING, From: "other", Address: "other", Version: 1, News: news})
+			time.Sleep(10 * time.Millisecond)
+		}
+		probe(0)
+		qt.Check(t, s.syncs.Load(), qt.Equals, before)
+		probe(7)
+		qt.Check(t, s.syncs.Load() > before, qt.IsTrue)
+		// A difference that stays costs no more than one comparison a second.
+		before = s.syncs.Load()
+		for range 200 {
+			probe(7)
+		}
+		qt.Check(t, s.syncs.Load() <= before+2, qt.IsTrue, qt.Commentf("%d", s.syncs.Load()-before))
+		cancel()
+		synctest.Wait()
+	})
+}
