Names of requests: host, length and the beginning of chunked bodies count

Seen by callers: a crashing request goes on although it was present at many crashes, or one that never crashed anything is refused for it. Cause: the digest held team, method, path and the body where that was sent with a length of up to 16 KB. Requests to two hosts shared a name; so did all chunked bodies and all long ones of a team on a path, and a success of one cleared the other. Now the host of the route counts (not the host that the caller named: it differs by the node that the caller uses), the length of a long body, and the first 16 KB of a chunked one, which is read before the request is placed; a chunked body that ends before is small like others, and may be sent again. Open: long bodies of equal length on one path of a team. TestOtherRequestHasTheNameOfTheCrashingOne fails on the code before.

--- a/pkg/forwarder/crash_test.go
+++ b/pkg/forwarder/crash_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/primrosewall/primrosewall/pkg/declarer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -86,3 +91,48 @@
 	qt.Assert(t, names[0], qt.Equals, "killer")
 	qt.Assert(t, len(names) <= maxFailures, qt.IsTrue)
 }
+
+// named returns the digest of a request, and the body that is sent on.
+func named(t *testing.T, host, body string, sized bool) (digest, sent string) {
+	var reader io.Reader = strings.NewReader(body)
+	if !sized {
+		reader = io.MultiReader(reader)
+	}
+	x := &Exchange{writer: httptest.NewRecorder(), request: httptest.NewRequest(http.MethodPost, "/path", reader), route: &declarer.Route{Host: host}}
+	qt.Assert(t, x.request.ContentLength >= 0, qt.Equals, sized)
+	qt.Assert(t, x.readSmall(), qt.IsNil)
+	digest = string(x.digest("team"))
+	out, _ := x.nextBody()
+	raw, err := io.ReadAll(out)
+	qt.Assert(t, err, qt.IsNil)
+	return digest, string(raw)
+}
+
+// TestOtherRequestHasTheNameOfTheCrashingOne gives requests that differ in host
+// or body names of their own, so that none of them clears another or is refused
+// in its place.
+func TestOtherRequestHasTheNameOfTheCrashingOne(t *testing.T) {
+	long := strings.Repeat("x", smallBody)
+	seen := map[string]string{}
+	for _, host := range []string{"a.example", "b.example"} {
+		for _, body := range []string{"one", "two", long, long + "y", long + "yz", "zzz" + long} {
+			for _, sized := range []bool{true, false} {
+				digest, sent := named(t, host, body, sized)
+				qt.Assert(t, sent, qt.Equals, body)
+				what := fmt.Sprint(host, len(body), body[:1], body[len(body)-1:])
+				if !sized && len(body) > smallBody {
+					// The end of a long body of unknown length is not known.
+					continue
+				}
+				if other, ok := seen[digest]; ok {
+					qt.Assert(t, other, qt.Equals, what)
+				}
+				seen[digest] = what
+			}
+		}
+	}
+	qt.Assert(t, seen, qt.HasLen, 2*6)
+	one, _ := named(t, "a.example", "one"+long, false)
+	two, _ := named(t, "a.example", "two"+long, false)
+	qt.Assert(t, one, qt.Not(qt.Equals), two)
+}
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	// streamed and can be sent once.
 	content  []byte
 	streamed bool
+	// prefix is the beginning of a streamed body that is in memory already.
+	prefix []byte
 	// touched tells that the streamed body has been read from, by the
 	// transport in its own time.
 	touched atomic.Bool
@@ -108,17 +111,21 @@
 // left is the time until the deadline.
 func (x *Exchange) left(now time.Time) time.Duration { return x.deadline.Sub(now) }
 
-// readSmall takes a small body into memory.
+// readSmall takes a small body into memory. Of a long one whose length is not
+// known it takes the beginning, which names the request.
 func (x *Exchange) readSmall() error {
 	length := x.request.ContentLength
 	if length == 0 || x.request.Body == nil || x.request.Body == http.NoBody {
 		x.content = []byte{}
 		return nil
 	}
-	if length < 0 || length > smallBody {
+	if length > smallBody {
 		x.streamed = true
 		return nil
 	}
+	if length < 0 {
+		return x.readUnknown()
+	}
 	content := make([]byte, length)
 	if _, err := io.ReadFull(newStallReader(x.writer, x.request.Body), content); err != nil {
 		return err
@@ -127,12 +134,27 @@
 	return nil
 }
 
+// readUnknown reads a body of unknown length up to the bound for small ones.
+func (x *Exchange) readUnknown() error {
+	content, err := io.ReadAll(io.LimitReader(newStallReader(x.writer, x.request.Body), smallBody+1))
+	if err != nil {
+		return err
+	}
+	if len(content) > smallBody {
+		x.streamed, x.prefix = true, content
+		return nil
+	}
+	x.content = content
+	return nil
+}
+
 // nextBody returns the body for one attempt.
 func (x *Exchange) nextBody() (io.ReadCloser, int64) {
 	if !x.streamed {
 		return plainBody{bytes.NewReader(x.content)}, int64(len(x.content))
 	}
-	return &touchBody{exchange: x, reader: newStallReader(x.writer, x.request.Body)}, x.request.ContentLength
+	rest := newStallReader(x.writer, x.request.Body)
+	return &touchBody{exchange: x, reader: io.MultiReader(bytes.NewReader(x.prefix), rest)}, x.request.ContentLength
 }
 
 // plainBody hides the reader's type, so that the transport cannot rewind it
@@ -181,13 +203,22 @@
 }
 
 // digest names a request for the search for crash causes and for claims: the
-// same team, method, path, idempotency key and body give the same digest.
+// same team, host of the route, method, path, idempotency key and body give the
+// same digest. Of a long body its length or its beginning counts.
 func (x *Exchange) digest(team string) []byte {
 	h := sha256.New()
-	for _, part := range []string{team, x.request.Method, x.request.URL.RequestURI(), x.request.Header.Get(headerIdempotency)} {
+	host, length := "", ""
+	if x.route != nil {
+		host = x.route.Host
+	}
+	if x.streamed && x.request.ContentLength >= 0 {
+		length = strconv.FormatInt(x.request.ContentLength, 10)
+	}
+	for _, part := range []string{team, host, x.request.Method, x.request.URL.RequestURI(), x.request.Header.Get(headerIdempotency), length} {
 		io.WriteString(h, part)
 		h.Write([]byte{0})
 	}
 	h.Write(x.content)
+	h.Write(x.prefix)
 	return h.Sum(nil)[:16]
 }
--- a/pkg/forwarder/poison_filter.go
+++ b/pkg/forwarder/poison_filter.go
@@ -28,6 +28,10 @@
 }
 
 func refuseBody(err error) *Refusal {
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		return refuse(http.StatusRequestEntityTooLarge, ReasonRequest, 0, "the body is over %d bytes", long.Limit)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refuse(http.StatusRequestTimeout, ReasonRequest, 0, "the body made no progress for %v", stallTime)
 	}
