--- a/pkg/gossiper/crash_test.go
+++ b/pkg/gossiper/crash_test.go
@@ -1,6 +1,7 @@
 package gossiper_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"testing"
 	"time"
@@ -23,9 +24,7 @@
 
 // digestOf names a request.
 func digestOf(name string) []byte {
-	raw := make([]byte, 16)
-	copy(raw, fmt.Sprintf("%016x", xxhash.Sum64String(name)))
-	return raw
+	return binary.BigEndian.AppendUint64(nil, xxhash.Sum64String(name))
 }
 
 // bystanders names requests that ran at one crash only.
