Crashing requests: another idempotency key is no other request; a process test

A caller that sends a crashing request again with a new idempotency key gave it a new name each time, so that it was never found. The digest no longer holds the key; claims compare keys by themselves. TestCrashingRequestTakesAnotherKey fails on the code before. TestCrashingRequestIsSentOnUnderLoad plays 12 real nodes under load and a request that crashes its targets, or gets a 500 half of the time; it guards the whole path. The stand-in target gained -spare for it.

--- a/pkg/commander/target.go
+++ b/pkg/commander/target.go
@@ -26,6 +26,7 @@
 	f.StringVar(&o.Next, "next", "", "`path` of the next service to call")
 	f.StringVar(&o.Record, "record", "", "`file` that gets a line for each request")
 	f.IntVar(&o.Slots, "slots", 10, "requests that run at once")
+	f.IntVar(&o.Spare, "spare", 0, "answer one in so many crashing requests with 500 in place of a crash")
 	f.IntVar(&o.Drop, "drop", 0, "close the connection of every so many requests unanswered")
 	f.DurationVar(&o.Time, "time", time.Millisecond, "time that a request takes")
 	f.DurationVar(&o.Cold, "cold", 0, "time after the start in which requests take four times as long")
--- a/pkg/emulator/target.go
+++ b/pkg/emulator/target.go
@@ -46,6 +46,8 @@
 	Retries int
 	// Record is a file that gets one line for each request that was run.
 	Record string
+	// Spare answers every so many crashing requests with 500 in place of a crash.
+	Spare int
 	// Drop closes the connection of every so many requests unanswered.
 	Drop int
 }
@@ -167,7 +169,11 @@
 	n := t.count.Add(1)
 	t.note(r)
 	if strings.HasSuffix(r.URL.Path, poisonPath) {
-		os.Exit(3)
+		if t.options.Spare == 0 || mathrand.IntN(t.options.Spare) > 0 {
+			os.Exit(3)
+		}
+		http.Error(w, "spared", http.StatusInternalServerError)
+		return
 	}
 	if t.options.Drop > 0 && n%int64(t.options.Drop) == 0 {
 		panic(http.ErrAbortHandler)
--- a/pkg/forwarder/crash_test.go
+++ b/pkg/forwarder/crash_test.go
@@ -136,3 +136,14 @@
 	two, _ := named(t, "a.example", "two"+long, false)
 	qt.Assert(t, one, qt.Not(qt.Equals), two)
 }
+
+// TestCrashingRequestTakesAnotherKey sends one request with two idempotency keys.
+func TestCrashingRequestTakesAnotherKey(t *testing.T) {
+	name := func(key string) []byte {
+		x := &Exchange{writer: httptest.NewRecorder(), request: httptest.NewRequest(http.MethodPost, "/path", strings.NewReader("body"))}
+		x.request.Header.Set(headerIdempotency, key)
+		qt.Assert(t, x.readSmall(), qt.IsNil)
+		return x.digest("team")
+	}
+	qt.Assert(t, name("one"), qt.DeepEquals, name("two"))
+}
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -206,8 +206,9 @@
 }
 
 // digest names a request for the search for crash causes and for claims: the
-// same team, host of the route, method, path, idempotency key and body give the
-// same digest. Of a long body its length or its beginning counts.
+// same team, host of the route, method, path and body give the same digest. Of a
+// long body its length or its beginning counts. The idempotency key does not: a
+// caller may take another one each time.
 func (x *Exchange) digest(team string) []byte {
 	h := sha256.New()
 	host, length := "", ""
@@ -217,7 +218,7 @@
 	if x.streamed && x.request.ContentLength >= 0 {
 		length = strconv.FormatInt(x.request.ContentLength, 10)
 	}
-	for _, part := range []string{team, host, x.request.Method, x.request.URL.RequestURI(), x.request.Header.Get(headerIdempotency), length} {
+	for _, part := range []string{team, host, x.request.Method, x.request.URL.RequestURI(), length} {
 		io.WriteString(h, part)
 		h.Write([]byte{0})
 	}
--- /dev/null
+++ b/test/crash_test.go
@@ -0,0 +1,123 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The bound of the users' rule: after the third crash every node refuses the
+// request within stabilityWindow, but for a few sends.
+const (
+	stabilityWindow = 3 * time.Second
+	allowedSends    = 3
+)
+
+// TestCrashingRequestIsSentOnUnderLoad sends a request that crashes each target
+// to all nodes by turns while every target runs many others, and counts the
+// crashes that come too late. Half of the time a target answers it with 500.
+func TestCrashingRequestIsSentOnUnderLoad(t *testing.T) {
+	const (
+		nodes    = 12
+		inflight = 40
+		length   = 9 * time.Second
+	)
+	f := newFleet(t)
+	var all []*node
+	for i := range nodes {
+		options := []string{"-service", "back", "-slots", "200", "-time", "1s", "-spare", "2"}
+		all = append(all, f.add(fmt.Sprintf("n%02d", i), "east", i == 0, options...))
+	}
+	f.start()
+	all[0].declare(`{
+  "centres": {"east": {"witnesses": ["n00"]}},
+  "teams": {},
+  "routes": [{"name": "open", "path": "/open", "service": "back", "open": true}]
+}`)
+	f.until("targets are known everywhere", func() bool {
+		for _, n := range all {
+			if n.ask("GET", "/open/first", nil, nil).status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	load := &background{nodes: all}
+	for i := range nodes * inflight {
+		load.Add(1)
+		go load.run(ctx, i)
+	}
+	time.Sleep(3 * time.Second)
+	crashes := crashEverything(f, all, length)
+	cancel()
+	load.Wait()
+	f.Assert(len(crashes) >= 3, qt.IsTrue, qt.Commentf("%d crashes", len(crashes)))
+	late := 0
+	for i, at := range crashes {
+		f.Logf("crash %d after %v", i+1, at.Sub(crashes[0]).Round(10*time.Millisecond))
+		if at.Sub(crashes[2]) > stabilityWindow {
+			late++
+		}
+	}
+	f.Assert(late <= allowedSends, qt.IsTrue, qt.Commentf("%d of %d crashes came later than %v after the third", late, len(crashes), stabilityWindow))
+}
+
+// background is the load of other requests, each on a path of its own.
+type background struct {
+	sync.WaitGroup
+	nodes []*node
+}
+
+func (b *background) run(ctx context.Context, worker int) {
+	defer b.Done()
+	client := &http.Client{Timeout: patience}
+	for i := 0; ctx.Err() == nil; i++ {
+		n := b.nodes[(worker+i)%len(b.nodes)]
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.listen+fmt.Sprintf("/open/%d-%d", worker, i), nil)
+		if err != nil || do(client, r).status != http.StatusOK {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// crashEverything sends the crashing request to a random node ten times a second
+// and starts targets again one second after their end. It returns when each
+// target ended.
+func crashEverything(f *fleet, all []*node, length time.Duration) []time.Time {
+	random := rand.New(rand.NewPCG(17, 1))
+	var crashes []time.Time
+	down := map[*node]time.Time{}
+	end := time.Now().Add(length)
+	for time.Now().Before(end) {
+		n := all[random.IntN(len(all))]
+		go n.ask("GET", "/open/crash", nil, nil)
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range all {
+			at, isDown := down[n]
+			switch {
+			case !isDown && n.ended():
+				down[n] = time.Now()
+				crashes = append(crashes, down[n])
+			case isDown && time.Since(at) > time.Second:
+				delete(down, n)
+				n.startTarget()
+			}
+		}
+	}
+	return crashes
+}
+
+// ended tells whether the target's process has ended since it was last asked.
+func (n *node) ended() bool {
+	var status syscall.WaitStatus
+	pid, err := syscall.Wait4(n.stand.Process.Pid, &status, syscall.WNOHANG, nil)
+	return err == nil && pid == n.stand.Process.Pid
+}
