Crashing requests: the decision counts again after the wait for a slot

Seen by callers: a copy of a crashing request that waits for a slot when the decision comes is sent to the target and crashes it, as many seconds later as it waited. Cause: the decision was looked up on arrival at the target's node only; the wait for a slot comes after it. It is looked up again just before the request goes to the target. TestCrashingRequestIsSentAfterItsWait fails on the code before (503 from a send to a closed port in place of 422).

--- a/pkg/forwarder/crash_test.go
+++ b/pkg/forwarder/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,7 +12,12 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/quarantiner"
+	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -157,3 +163,39 @@
 	}
 	qt.Assert(t, name("one"), qt.DeepEquals, name("two"))
 }
+
+// TestCrashingRequestIsSentAfterItsWait bars a request while it waits for a slot
+// of the target.
+func TestCrashingRequestIsSentAfterItsWait(t *testing.T) {
+	clock := timekeeper.System{}
+	slots := admitter.New(clock, admitter.Static{})
+	slots.Announce(1, -1)
+	quarantine := quarantiner.New(clock, nil)
+	f := New(Deps{
+		Clock: clock, Log: slog.New(slog.DiscardHandler), Quarantine: quarantine, Admitter: slots, Dialect: Native{},
+		Target:     func() *Target { return &Target{Service: "back", Address: "127.0.0.1:1", Life: "a", Slots: 1} },
+		TargetLink: connector.New(clock, connector.TargetIdle), Suspect: func(*Target) {},
+	})
+	first, err := slots.Admit(t.Context(), "team", 0)
+	qt.Assert(t, err, qt.IsNil)
+	recorder := httptest.NewRecorder()
+	x := &Exchange{
+		writer: recorder, request: httptest.NewRequest(http.MethodGet, "/path", nil), began: clock.Now(), atTarget: true,
+		hop: &control.Hop{Service: "back", Team: "team", Digest: []byte("0123456789abcdef")}, budget: retrier.NewBudget(0),
+		deadline: clock.Now().Add(5 * time.Second), content: []byte{},
+	}
+	served := make(chan struct{})
+	go func() {
+		f.hop(x)
+		close(served)
+	}()
+	for slots.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	quarantine.Crash(1, [][]byte{x.hop.Digest})
+	quarantine.Crash(2, [][]byte{x.hop.Digest})
+	first.Done(0, false)
+	<-served
+	qt.Assert(t, recorder.Code, qt.Equals, http.StatusUnprocessableEntity)
+	qt.Assert(t, slots.Load().Inflight, qt.Equals, 0)
+}
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -34,6 +34,11 @@
 		f.flights.remove(flight, d.now())
 		x.ticket.Done(flight.callTime(), shed)
 	}()
+	// The request may have been barred while it waited for its slot.
+	if f.refusePoison(x) {
+		flight.end = endNotSent
+		return
+	}
 	timer := time.AfterFunc(x.left(d.now())+x.allowance(), func() { cancel(errDeadline) })
 	faulter.Reach(faulter.HopDelivering)
 	delivery := d.delivery(x, flight)
--- a/pkg/forwarder/poison_filter.go
+++ b/pkg/forwarder/poison_filter.go
@@ -20,13 +20,21 @@
 		}
 		x.hop.Digest = x.digest(x.hop.Team)
 	}
-	if p.forwarder.deps.Quarantine.Barred(x.hop.Digest) {
-		x.refuse(refuse(http.StatusUnprocessableEntity, ReasonPoison, 0, "this request was running when targets crashed, more than once; it is refused"))
+	if p.forwarder.refusePoison(x) {
 		return
 	}
 	next(x)
 }
 
+// refusePoison refuses a request that was present at two crashes of targets.
+func (f *Forwarder) refusePoison(x *Exchange) bool {
+	barred := f.deps.Quarantine.Barred(x.hop.Digest)
+	if barred {
+		x.refuse(refuse(http.StatusUnprocessableEntity, ReasonPoison, 0, "this request was running when targets crashed, more than once; it is refused"))
+	}
+	return barred
+}
+
 func refuseBody(err error) *Refusal {
 	var long *http.MaxBytesError
 	if errors.As(err, &long) {
