--- a/pkg/forwarder/crash_test.go
+++ b/pkg/forwarder/crash_test.go
@@ -184,18 +184,27 @@
 		hop: &control.Hop{Service: "back", Team: "team", Digest: []byte("0123456789abcdef")}, budget: retrier.NewBudget(0),
 		deadline: clock.Now().Add(5 * time.Second), content: []byte{},
 	}
-	served := make(chan struct{})
-	go func() {
-		f.hop(x)
-		close(served)
-	}()
+	h := &hopRun{forwarder: f, exchange: x, served: make(chan struct{})}
+	go h.run()
 	for slots.Load().Queued == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	quarantine.Crash(1, [][]byte{x.hop.Digest})
 	quarantine.Crash(2, [][]byte{x.hop.Digest})
 	first.Done(0, false)
-	<-served
+	<-h.served
 	qt.Assert(t, recorder.Code, qt.Equals, http.StatusUnprocessableEntity)
 	qt.Assert(t, slots.Load().Inflight, qt.Equals, 0)
 }
+
+// hopRun serves one request between nodes.
+type hopRun struct {
+	forwarder *Forwarder
+	exchange  *Exchange
+	served    chan struct{}
+}
+
+func (h *hopRun) run() {
+	h.forwarder.hop(h.exchange)
+	close(h.served)
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -80,8 +80,8 @@
 	heard map[string]bool
 	// replicaAt is when a replica was last heard from.
 	replicaAt time.Time
-	// differs is the address of a node that knows other keys or decisions, and
-	// lastSync when tables were last compared.
+	// differs passes on the address of a node that knows other keys or decisions;
+	// lastSync is when tables were last compared.
 	differs  chan string
 	lastSync time.Time
 	// generation counts changes of the table.
--- a/pkg/gossiper/queue.go
+++ b/pkg/gossiper/queue.go
@@ -13,9 +13,12 @@
 type kind int
 
 const (
+	// kindSuspect is a decision about a request that ran at crashes.
 	kindSuspect kind = iota
 	kindWithdrawn
+	// kindEntry is a member.
 	kindEntry
+	// kindCrash is a part of the requests of a crash.
 	kindCrash
 	kinds
 )
@@ -155,8 +158,8 @@
 }
 
 // take picks updates for a packet with room for so many bytes. Each kind may
-// fill its share, or put one update into it; what is left goes to the most
-// urgent. add puts an update into the packet and returns its size.
+// fill its share, and go over it with the last one if that still fits; what is
+// left goes to the most urgent.
 func (q *queue) take(room int, size func(*update) int) []*update {
 	var taken []*update
 	share := room / int(kinds)
@@ -179,7 +182,7 @@
 		}
 	}
 	for _, u := range taken {
-		q.count(u)
+		q.finish(u)
 	}
 	return taken
 }
@@ -193,8 +196,9 @@
 	return heap.Pop(h).(*update)
 }
 
-// count puts an update back that is to be sent again.
-func (q *queue) count(u *update) {
+// finish notes that an update was sent, and puts it back if it is to be sent
+// again.
+func (q *queue) finish(u *update) {
 	u.sent++
 	u.left--
 	if u.left > 0 {
@@ -223,7 +227,7 @@
 	return proto.Size(m.entry) + fieldBytes
 }
 
-// put adds an update to a packet.
+// putUpdate adds an update to a packet.
 func (g *Gossiper) putUpdate(p *control.Packet, u *update) {
 	switch u.kind() {
 	case kindSuspect:
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -53,7 +53,8 @@
 	cleared []uint64
 	// told tells that the request was barred once, so that others know of it.
 	told bool
-	at   time.Time
+	// at is when the first crash was heard of.
+	at time.Time
 }
 
 // counting returns how many crashes still count against the request.
@@ -214,6 +215,8 @@
 		n := nameOf(m.Digest)
 		grown, _ := q.merge(n, m.Crashes, m.Cleared)
 		s := q.suspects[n]
+		// The sender takes the request for barred, and does not know that it was
+		// cleared of a crash here.
 		better := counting(m.Crashes, m.Cleared) >= crashesToBar && !s.barred()
 		if grown || better {
 			s.told = true
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -99,7 +99,8 @@
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
 		n := all[random.IntN(len(all))]
-		go n.ask("GET", "/open/crash", nil, nil)
+		c := &crashingCaller{node: n}
+		go c.run()
 		time.Sleep(100 * time.Millisecond)
 		for _, n := range all {
 			at, isDown := down[n]
@@ -116,6 +117,11 @@
 	return crashes
 }
 
+// crashingCaller sends the crashing request once.
+type crashingCaller struct{ node *node }
+
+func (c *crashingCaller) run() { c.node.ask("GET", "/open/crash", nil, nil) }
+
 // ended tells whether the target's process has ended since it was last asked.
 func (n *node) ended() bool {
 	var status syscall.WaitStatus
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -174,38 +174,67 @@
 		{"drip", 504, true}, {"stall", 504, true},
 		{"chunks", 200, false}, {"close", 200, false}, {"extra", 200, true},
 	} {
-		var callersDone sync.WaitGroup
-		most := 0
+		group := &endlessCallers{node: n, path: "/open/" + c.path, waits: waits, over: make(chan struct{})}
 		for range callers {
-			callersDone.Add(1)
-			go func() {
-				defer callersDone.Done()
-				began := time.Now()
-				got := n.discard("/open/"+c.path, waits)
-				f.Check(got.status, qt.Equals, c.status, qt.Commentf("%s: %v", c.path, got.err))
-				f.Check(got.err == nil, qt.Equals, c.whole, qt.Commentf("%s: %v", c.path, got.err))
-				f.Check(time.Since(began) < ends, qt.IsTrue, qt.Commentf("%s took %v", c.path, time.Since(began)))
-			}()
+			group.Add(1)
+			go group.run()
 		}
-		stop := make(chan struct{})
-		go func() {
-			callersDone.Wait()
-			close(stop)
-		}()
+		go group.loop()
+		most := 0
 		for waiting := true; waiting; {
 			select {
-			case <-stop:
+			case <-group.over:
 				waiting = false
 			case <-time.After(20 * time.Millisecond):
 				most = max(most, n.memory())
 			}
 		}
+		for _, got := range group.got {
+			f.Check(got.status, qt.Equals, c.status, qt.Commentf("%s: %v", c.path, got.err))
+			f.Check(got.err == nil, qt.Equals, c.whole, qt.Commentf("%s: %v", c.path, got.err))
+			f.Check(got.took < ends, qt.IsTrue, qt.Commentf("%s took %v", c.path, got.took))
+		}
 		f.Check(most-before < memoryBound, qt.IsTrue, qt.Commentf("%s: %d MB, %d MB before", c.path, most>>20, before>>20))
 		f.until("others are served", func() bool { return n.ask("GET", "/open/good", nil, nil).status == 200 })
 	}
 	f.until("nothing runs at the target any more", func() bool { return n.metric("inflight") <= 0 })
 }
 
+// endlessCallers ask for one path at the same time.
+type endlessCallers struct {
+	sync.WaitGroup
+	node  *node
+	path  string
+	waits time.Duration
+	// over is closed when all have their end.
+	over chan struct{}
+
+	mu  sync.Mutex
+	got []timedReply
+}
+
+// timedReply is an answer with the time that it took.
+type timedReply struct {
+	reply
+	took time.Duration
+}
+
+func (e *endlessCallers) run() {
+	defer e.Done()
+	began := time.Now()
+	got := timedReply{reply: e.node.discard(e.path, e.waits)}
+	got.took = time.Since(began)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.got = append(e.got, got)
+}
+
+// loop waits for all callers.
+func (e *endlessCallers) loop() {
+	e.Wait()
+	close(e.over)
+}
+
 // discard sends a request of a caller that says how long it waits, and reads the
 // body without keeping it.
 func (n *node) discard(path string, waits time.Duration) reply {
