--- /dev/null
+++ b/pkg/gossiper/cut_test.go
@@ -0,0 +1,107 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosewall/primrosewall/pkg/gossiper"
+	"github.com/primrosewall/primrosewall/pkg/quarantiner"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// running is a fleet whose nodes run by themselves on the clock of a bubble.
+type running struct {
+	nodes []*runner
+	byAdr map[string]*runner
+	// isCut keeps the two halves apart.
+	isCut atomic.Bool
+}
+
+// runner is one node of it.
+type runner struct {
+	member
+	fleet *running
+	half  int
+}
+
+// Send implements gossiper.Carrier.
+func (r *runner) Send(address string, p *control.Packet) {
+	if to := r.reach(address); to != nil {
+		to.gossip.Receive(proto.Clone(p).(*control.Packet))
+	}
+}
+
+// Sync implements gossiper.Syncer.
+func (r *runner) Sync(_ context.Context, address string, request *control.SyncRequest) (*control.SyncReply, error) {
+	to := r.reach(address)
+	if to == nil {
+		return nil, errors.New("out of reach")
+	}
+	return to.gossip.AnswerSync(proto.Clone(request).(*control.SyncRequest)), nil
+}
+
+// reach returns the node at an address, or nil behind a cut.
+func (r *runner) reach(address string) *runner {
+	to := r.fleet.byAdr[address]
+	if to == nil || r.fleet.isCut.Load() && to.half != r.half {
+		return nil
+	}
+	return to
+}
+
+func startFleet(ctx context.Context, size int) *running {
+	f := &running{byAdr: map[string]*runner{}}
+	for i := range size {
+		r := &runner{fleet: f, half: i % 2, member: member{
+			name: fmt.Sprint("n", i), version: 1, merged: map[string]bool{}, quarantine: quarantiner.New(bubbleClock{}, nil),
+		}}
+		self := &control.Entry{Instance: r.name, Centre: fmt.Sprint("centre", r.half), Address: r.name}
+		r.gossip = gossiper.New(self, []string{"n0", "n1"}, bubbleClock{}, r, r, rand.New(rand.NewPCG(1, uint64(i))))
+		f.nodes = append(f.nodes, r)
+		f.byAdr[r.name] = r
+	}
+	for _, r := range f.nodes {
+		go r.gossip.Run(ctx)
+		go r.gossip.SyncLoop(ctx, r)
+	}
+	return f
+}
+
+// TestCutDataCentreSendsCrashingRequestOn crashes three targets in one half of a
+// cut fleet. Once the cut has healed, the other half has as long as all others
+// to refuse the request.
+func TestCutDataCentreSendsCrashingRequestOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 20
+		ctx, cancel := context.WithCancel(t.Context())
+		f := startFleet(ctx, size)
+		time.Sleep(20 * time.Second)
+		f.isCut.Store(true)
+		time.Sleep(10 * time.Second)
+		killer := digestOf("killer")
+		for c := range 3 {
+			f.nodes[2*c].crash(fmt.Sprint("crash", c), append(bystanders(c, 100), killer))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		for _, r := range f.nodes {
+			qt.Check(t, r.quarantine.Barred(killer), qt.Equals, r.half == 0)
+		}
+		f.isCut.Store(false)
+		time.Sleep(stabilityWindow)
+		for _, r := range f.nodes {
+			qt.Check(t, r.quarantine.Barred(killer), qt.IsTrue, qt.Commentf("%s", r.name))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
