Register: the set of replicas follows from the disks that may be lost

Cause: the register was founded by three seeds, stayed at three for good, and acknowledged on two of them, whatever losses were asked for. Two wiped disks may be the two that had accepted; the third has no majority and an older value.

Ruled out: a fault of the hand-over between epochs or of what a replica syncs.

Change: setting `tolerance`. The healer enlarges a set to 2 f + 1 in one epoch, from the data centres with the fewest members; even sizes bear nothing more and are passed over. No change is acknowledged before (also none sent again), unless fewer disks than needed are known for 5 s: log and status say so. A withdrawn key is acknowledged when f + 1 data folders have it; it was acknowledged on one. Claims and leases count the same set by majority, so they grow with it.

Deployments with f = 1 keep sets of three.

--- a/pkg/commander/status.go
+++ b/pkg/commander/status.go
@@ -6,6 +6,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/primrosewall/primrosewall/pkg/healer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -61,8 +62,11 @@
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", e.Centre, e.Instance, stateName(e.State), orDash(e.Service), e.Slots, version, orDash(replicaName(reply, e)))
 	}
 	table.Flush()
-	fmt.Fprintf(t.out, "version %d, in force at %d of %d instances; %d replicas in epoch %d\n",
-		reply.Version, len(reply.Entries)-behind, len(reply.Entries), len(reply.Replicas), reply.Epoch)
+	fmt.Fprintf(t.out, "version %d, in force at %d of %d instances; %d replicas in epoch %d bear the loss of %d\n",
+		reply.Version, len(reply.Entries)-behind, len(reply.Entries), len(reply.Replicas), reply.Epoch, healer.Bears(len(reply.Replicas)))
+	if asked := int(reply.Tolerance); healer.Bears(len(reply.Replicas)) < asked {
+		fmt.Fprintf(t.out, "the loss of %d is to be borne: %d replicas are needed\n", asked, healer.Size(asked))
+	}
 }
 
 func replicaName(reply *control.StatusReply, e *control.Entry) string {
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/decoder"
+	"github.com/primrosewall/primrosewall/pkg/healer"
 )
 
 // MinSecret is the least length of the fleet secret, in bytes.
@@ -40,6 +41,10 @@
 	// Replicas are the peer addresses of the first set of replicas, the
 	// founder first. They are used once, when the fleet is founded.
 	Replicas []string `json:"replicas"`
+	// Tolerance is how many data folders may be lost at the same moment without
+	// the loss of an acknowledged change; the set of replicas needs two for each
+	// and one more.
+	Tolerance int `json:"tolerance"`
 	// Operators maps names to key hashes; empty admits anybody who reaches
 	// Admin, which must then be a loopback address.
 	Operators map[string]string `json:"operators"`
@@ -93,6 +98,10 @@
 	secret []byte
 }
 
+// maxTolerance keeps the set of replicas small: each of them takes part in every
+// change.
+const maxTolerance = 4
+
 // Retry bounds the second sends to a service over the whole fleet.
 type Retry struct {
 	// Ratio of second sends to first ones.
@@ -253,6 +262,12 @@
 	if s.Contact < 0 {
 		return d.Problem("contact", "is %d; seconds, or 0 for no bound, would be right", s.Contact)
 	}
+	if s.Tolerance < 0 || s.Tolerance > maxTolerance {
+		return d.Problem("tolerance", "is %d; 0 to %d data folders would be right", s.Tolerance, maxTolerance)
+	}
+	if n := len(s.Replicas); n > 0 && !s.Heal && healer.Bears(n) < s.Tolerance {
+		return d.Problem("tolerance", "is %d, and %d replicas bear the loss of %d; name %d replicas, or set heal", s.Tolerance, n, healer.Bears(n), healer.Size(s.Tolerance))
+	}
 	if s.Connections < 1 || s.Connections > 100_000 {
 		return d.Problem("connections", "is %d; 1 to 100000 would be right", s.Connections)
 	}
--- a/pkg/decoder/decoder_test.go
+++ b/pkg/decoder/decoder_test.go
@@ -19,7 +19,7 @@
 		fmt.Println(err)
 	}
 	// Output:
-	// node.json:3: instence: unknown field; known here are admin, centre, connections, contact, control, data, drain, found, grace, heal, instance, interface, links, listen, memory, metrics, operators, overage, peer, ready, replicas, retry, rule, sameport, secret, seeds, service, target
+	// node.json:3: instence: unknown field; known here are admin, centre, connections, contact, control, data, drain, found, grace, heal, instance, interface, links, listen, memory, metrics, operators, overage, peer, ready, replicas, retry, rule, sameport, secret, seeds, service, target, tolerance
 	// node.json:2: instance: is a number; a string would be right
 	// node.json:3: listen: stands twice; leave one of the two out
 	// node.json:2: line 2, column 12: invalid character '"' after object name
--- a/pkg/gossiper/table.go
+++ b/pkg/gossiper/table.go
@@ -118,7 +118,7 @@
 	}
 	var list []healer.Replica
 	for address, m := range newest {
-		r := healer.Replica{Identity: m.entry.Identity, Address: address}
+		r := healer.Replica{Identity: m.entry.Identity, Address: address, Centre: m.entry.Centre}
 		if m.entry.State != control.State_STATE_ALIVE {
 			r.Silent = m.silent
 		}
--- a/pkg/healer/healer.go
+++ b/pkg/healer/healer.go
@@ -1,10 +1,19 @@
 package healer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// silentFor is how long a replica must be out of reach before a spare takes
-// its place: longer than a restart of its process takes.
-const silentFor = 1500 * time.Millisecond
+const (
+	// silentFor is how long a replica must be out of reach before a spare takes
+	// its place: longer than a restart of its process takes.
+	silentFor = 1500 * time.Millisecond
+	// GrowAfter is how long the choice of disks that enlarge a set must stand: a
+	// fleet that starts finds its disks one after the other, and the first ones
+	// may all be in one data centre.
+	GrowAfter = time.Second
+)
 
 // Replica is one disk as this node sees it.
 type Replica struct {
@@ -12,32 +21,50 @@
 	Identity string
 	// Address of its node.
 	Address string
+	// Centre is the data centre of its node; empty when it is not known.
+	Centre string
 	// Silent tells since when the node has been out of reach; zero when it is
 	// in reach.
 	Silent time.Time
 }
 
-// Replacement says which member gives way to which disk.
+// Replacement says which member gives way to which disk, or which disks are
+// added.
 type Replacement struct {
-	// Leaving is the identity of the member.
+	// Leaving is the identity of the member; empty when none leaves.
 	Leaving string
-	// Joining is the address of the disk that takes its place.
-	Joining string
+	// Joining are the addresses of the disks that come into the set.
+	Joining []string
 	// Reason is one word for the log.
 	Reason string
 }
 
+// Equal tells whether two replacements are the same.
+func (r Replacement) Equal(other Replacement) bool {
+	return r.Leaving == other.Leaving && r.Reason == other.Reason && slices.Equal(r.Joining, other.Joining)
+}
+
 // The reasons of a replacement.
 const (
 	// ReasonDisk says that the member's node has come back with another disk.
 	ReasonDisk = "disk"
 	// ReasonSilent says that the member is out of reach and a spare is not.
 	ReasonSilent = "silent"
+	// ReasonGrow says that the set is too small for the losses it has to bear.
+	ReasonGrow = "grow"
 )
 
+// Size is how many replicas a set needs so that every accepted value is left
+// on a majority of what remains when so many disks are lost at once.
+func Size(tolerance int) int { return 2*tolerance + 1 }
+
+// Bears is how many disks of a set may be lost at once.
+func Bears(replicas int) int { return max(0, replicas-1) / 2 }
+
 // Decide picks the next replacement, or none. Members are the set in force;
-// seen are the disks that nodes have announced, members included.
-func Decide(members, seen []Replica, now time.Time) (Replacement, bool) {
+// seen are the disks that nodes have announced, members included; tolerance is
+// how many disks may be lost at once.
+func Decide(members, seen []Replica, tolerance int, now time.Time) (Replacement, bool) {
 	at := map[string]Replica{}
 	for _, r := range seen {
 		at[r.Address] = r
@@ -47,16 +74,25 @@
 	}
 	for _, m := range members {
 		if r, ok := at[m.Address]; ok && r.Identity != m.Identity && r.Silent.IsZero() {
-			return Replacement{Leaving: m.Identity, Joining: m.Address, Reason: ReasonDisk}, true
+			return Replacement{Leaving: m.Identity, Joining: []string{m.Address}, Reason: ReasonDisk}, true
 		}
 	}
-	spare, ok := pickSpare(members, seen)
-	if !ok {
-		return Replacement{}, false
+	// A set of even size bears no more than one of a replica less.
+	if missing := Size(tolerance) - len(members); missing > 0 {
+		joining := pickSpares(members, seen, at, missing)
+		if (len(members)+len(joining))%2 == 0 {
+			joining = joining[:max(0, len(joining)-1)]
+		}
+		if len(joining) > 0 {
+			return Replacement{Joining: joining, Reason: ReasonGrow}, true
+		}
 	}
 	for _, m := range members {
 		if r, ok := at[m.Address]; ok && !r.Silent.IsZero() && now.Sub(r.Silent) >= silentFor {
-			return Replacement{Leaving: m.Identity, Joining: spare, Reason: ReasonSilent}, true
+			others := slices.DeleteFunc(slices.Clone(members), func(o Replica) bool { return o.Address == m.Address })
+			if joining := pickSpares(others, seen, at, 1); len(joining) > 0 {
+				return Replacement{Leaving: m.Identity, Joining: joining, Reason: ReasonSilent}, true
+			}
 		}
 	}
 	return Replacement{}, false
@@ -73,17 +109,41 @@
 	return count > len(members)/2
 }
 
-// pickSpare returns the lowest address of a disk in reach that is no member.
-func pickSpare(members, seen []Replica) (string, bool) {
+// pickSpares returns up to count addresses of disks in reach that are no
+// members. Each comes from a data centre with the fewest members, so that the
+// loss of one data centre takes as few as possible; the lowest address goes
+// first.
+func pickSpares(members, seen []Replica, at map[string]Replica, count int) []string {
 	taken := map[string]bool{}
+	held := map[string]int{}
 	for _, m := range members {
 		taken[m.Address] = true
+		held[at[m.Address].Centre]++
 	}
-	best := ""
-	for _, r := range seen {
-		if !taken[r.Address] && r.Silent.IsZero() && (best == "" || r.Address < best) {
-			best = r.Address
+	spares := slices.Clone(seen)
+	slices.SortFunc(spares, func(a, b Replica) int {
+		if a.Address < b.Address {
+			return -1
+		}
+		return 1
+	})
+	var picked []string
+	for len(picked) < count {
+		best := -1
+		for i, r := range spares {
+			if taken[r.Address] || !r.Silent.IsZero() {
+				continue
+			}
+			if best < 0 || held[r.Centre] < held[spares[best].Centre] {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
 		}
+		taken[spares[best].Address] = true
+		held[spares[best].Centre]++
+		picked = append(picked, spares[best].Address)
 	}
-	return best, best != ""
+	return picked
 }
--- a/pkg/planner/applier_test.go
+++ b/pkg/planner/applier_test.go
@@ -80,7 +80,7 @@
 	members := []*control.Member{{Identity: "a"}, {Identity: "b"}, {Identity: "c"}}
 	value, err := apply(t, planner.Found(members), 0, 7, "one")
 	qt.Assert(t, err, qt.IsNil)
-	r := &planner.Replacement{ID: "r", Base: value.Version, Leaving: "a", Joining: &control.Member{Identity: "d"}}
+	r := &planner.Replacement{ID: "r", Base: value.Version, Leaving: "a", Joining: []*control.Member{{Identity: "d"}}}
 	value, err = r.Update()(value)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(value.Document), qt.Equals, "one")
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/primrosewall/primrosewall/pkg/declarer"
 	"github.com/primrosewall/primrosewall/pkg/limiter"
@@ -160,13 +161,13 @@
 	}
 }
 
-// Replacement puts a replica into the set in place of another one, or, with
-// an empty Leaving, in addition.
+// Replacement puts replicas into the set: one in place of another one, or, with
+// an empty Leaving, any number in addition.
 type Replacement struct {
 	ID       string
 	Base     uint64
 	Leaving  string
-	Joining  *control.Member
+	Joining  []*control.Member
 	Operator string
 	// Time in nanoseconds since 1970, for the audit trail.
 	Time int64
@@ -182,11 +183,7 @@
 		if err != nil {
 			return nil, err
 		}
-		line := fmt.Sprintf("~ replicas: %s joins at %s", r.Joining.GetIdentity(), r.Joining.GetAddress())
-		if r.Leaving != "" {
-			line += fmt.Sprintf(", %s leaves", r.Leaving)
-		}
-		value := successor(current, &control.Change{Id: r.ID, Operator: r.Operator, Time: r.Time, Lines: []string{line}})
+		value := successor(current, &control.Change{Id: r.ID, Operator: r.Operator, Time: r.Time, Lines: []string{r.line()}})
 		value.Epoch = current.Epoch + 1
 		value.Former = current.Replicas
 		value.Replicas = members
@@ -194,6 +191,18 @@
 	}
 }
 
+// line describes the replacement in the audit trail.
+func (r *Replacement) line() string {
+	line := "~ replicas:"
+	for _, m := range r.Joining {
+		line += fmt.Sprintf(" %s joins at %s,", m.GetIdentity(), m.GetAddress())
+	}
+	if r.Leaving != "" {
+		line += fmt.Sprintf(" %s leaves", r.Leaving)
+	}
+	return strings.TrimSuffix(line, ",")
+}
+
 func (r *Replacement) members(old []*control.Member) ([]*control.Member, error) {
 	var members []*control.Member
 	found := r.Leaving == ""
@@ -202,15 +211,17 @@
 			found = true
 			continue
 		}
-		if m.Identity == r.Joining.GetIdentity() {
-			return nil, fmt.Errorf("replica %s is in the set already", m.Identity)
+		for _, j := range r.Joining {
+			if m.Identity == j.GetIdentity() {
+				return nil, fmt.Errorf("replica %s is in the set already", m.Identity)
+			}
 		}
 		members = append(members, m)
 	}
 	if !found {
 		return nil, fmt.Errorf("replica %s is not in the set", r.Leaving)
 	}
-	return append(members, r.Joining), nil
+	return append(members, r.Joining...), nil
 }
 
 // Found makes the first value for the first set of replicas.
--- /dev/null
+++ b/pkg/planner/tolerance_test.go
@@ -0,0 +1,31 @@
+package planner_test
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/planner"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// TestSmallSetAcknowledges asks for a change, and for one that was made before,
+// of sets that do and do not bear the losses asked.
+func TestSmallSetAcknowledges(t *testing.T) {
+	repeated := &planner.RepeatError{Change: &control.Change{Version: 3}}
+	for _, test := range []struct {
+		replicas, tolerance int
+		refused             bool
+	}{
+		{1, 0, false}, {3, 1, false}, {2, 1, true}, {3, 2, true}, {4, 2, true}, {5, 2, false},
+	} {
+		current := &control.Value{Version: 3, Replicas: make([]*control.Member, test.replicas)}
+		_, err := planner.Bearing(test.tolerance, func(*control.Value) (*control.Value, error) { return nil, repeated })(current)
+		var small *planner.ToleranceError
+		qt.Assert(t, errors.As(err, &small), qt.Equals, test.refused, qt.Commentf("%+v", test))
+		if !test.refused {
+			qt.Assert(t, err, qt.Equals, error(repeated))
+		}
+	}
+}
--- a/pkg/replicator/model_test.go
+++ b/pkg/replicator/model_test.go
@@ -384,7 +384,7 @@
 		return next, nil
 	}
 	if leaving, joining := w.replacement(base); joining != nil {
-		r := &planner.Replacement{ID: id, Base: base.Version, Leaving: leaving, Joining: joining}
+		r := &planner.Replacement{ID: id, Base: base.Version, Leaving: leaving, Joining: []*control.Member{joining}}
 		update = r.Update()
 	}
 	return w.run(id, base, update)
--- a/pkg/server/healing.go
+++ b/pkg/server/healing.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/healer"
+	"github.com/primrosewall/primrosewall/pkg/planner"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -16,6 +18,10 @@
 	// healTurn is how much longer each further member of the set waits before
 	// it acts, so that usually one of them does.
 	healTurn = time.Second
+	// shortageMost is how long fewer disks than the tolerance needs may be known
+	// before changes are taken without them: a fleet that starts finds its disks
+	// within two seconds.
+	shortageMost = 5 * time.Second
 	// healName stands in the audit trail in place of an operator.
 	healName = "self-healing"
 )
@@ -26,6 +32,8 @@
 	// wanted since then is the replacement that this node would make.
 	wanted healer.Replacement
 	since  time.Time
+	// short tells since when fewer disks are known than the tolerance needs.
+	short time.Time
 }
 
 func newHealer(s *Server) *healing { return &healing{server: s} }
@@ -40,22 +48,31 @@
 		return
 	}
 	now := s.clock.Now()
-	next, ok := healer.Decide(replicasOf(value), s.gossip.Replicas(), now)
+	members, seen := replicasOf(value), s.gossip.Replicas()
+	h.noteShortage(members, seen, now)
+	next, ok := healer.Decide(members, seen, s.settings.Tolerance, now)
 	if !ok {
 		h.wanted = healer.Replacement{}
 		return
 	}
-	if next != h.wanted {
+	if !next.Equal(h.wanted) {
 		h.wanted, h.since = next, now
 	}
-	if now.Sub(h.since) < time.Duration(h.rank(value))*healTurn {
+	pause := time.Duration(h.rank(value)) * healTurn
+	if next.Reason == healer.ReasonGrow {
+		pause += healer.GrowAfter
+	}
+	if now.Sub(h.since) < pause {
 		return
 	}
-	request := &control.ReplaceRequest{
-		Leaving: next.Leaving, Joining: next.Joining, Base: value.Version,
-		Id: fmt.Sprintf("%s-%s-%d", next.Leaving, next.Joining, value.Version),
+	r := &planner.Replacement{
+		ID:   fmt.Sprintf("%s-%s-%d", next.Leaving, strings.Join(next.Joining, "-"), value.Version),
+		Base: value.Version, Leaving: next.Leaving, Operator: healName,
+	}
+	for _, address := range next.Joining {
+		r.Joining = append(r.Joining, &control.Member{Address: address})
 	}
-	reply, err := s.replace(ctx, request, healName)
+	reply, err := s.replace(ctx, r)
 	if err != nil {
 		s.fail("heal", err)
 		return
@@ -64,6 +81,36 @@
 		"version", reply.Version, "refused", reply.Refused)
 }
 
+// noteShortage looks whether as many disks exist as the tolerance needs, those
+// out of reach included.
+func (h *healing) noteShortage(members, seen []healer.Replica, now time.Time) {
+	s := h.server
+	known := map[string]bool{}
+	for _, r := range slices.Concat(members, seen) {
+		known[r.Address] = true
+	}
+	if healer.Bears(len(known)) >= s.settings.Tolerance {
+		h.short = time.Time{}
+	} else if h.short.IsZero() {
+		h.short = now
+	}
+	waived := !h.short.IsZero() && now.Sub(h.short) >= shortageMost
+	if s.waived.Swap(waived) != waived {
+		s.log.Warn("tolerance", "waived", waived, "disks", len(known), "asked", s.settings.Tolerance, "bears", healer.Bears(len(members)))
+	}
+}
+
+// tolerance is how many lost disks the set must bear before a change is
+// acknowledged. A fleet with too few disks for what is asked acknowledges all
+// the same, since otherwise no key could be withdrawn in it; its log and status
+// say so.
+func (s *Server) tolerance() int {
+	if s.waived.Load() {
+		return 0
+	}
+	return s.settings.Tolerance
+}
+
 // rank is this node's place among those that may act.
 func (h *healing) rank(value *control.Value) int {
 	at := slices.IndexFunc(value.Replicas, func(m *control.Member) bool { return m.Address == h.server.settings.Peer })
--- a/pkg/server/interface.go
+++ b/pkg/server/interface.go
@@ -86,7 +86,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	_, err := s.proposer.Run(ctx, known, a.Update())
+	_, err := s.proposer.Run(ctx, known, planner.Bearing(s.tolerance(), a.Update()))
 	var repeat *planner.RepeatError
 	var base *planner.BaseError
 	var invalid *planner.InvalidError
--- a/pkg/server/operator_service.go
+++ b/pkg/server/operator_service.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/http"
 	"sort"
 	"strings"
@@ -84,40 +85,44 @@
 		ID: r.Id, Base: r.Base, Declaration: r.Declaration, Operator: name(ctx),
 		Time: s.clock.Now().UnixNano(), Settled: s.settled,
 	}
-	return s.propose(ctx, c.Update(), r.Id)
+	return s.propose(ctx, planner.Bearing(s.tolerance(), c.Update()), r.Id)
 }
 
 // Replace implements control.Operator.
 func (o *operatorService) Replace(ctx context.Context, r *control.ReplaceRequest) (*control.ProposeReply, error) {
-	return o.server.replace(ctx, r, name(ctx))
+	return o.server.replace(ctx, &planner.Replacement{
+		ID: r.Id, Base: r.Base, Leaving: r.Leaving, Operator: name(ctx),
+		Joining: []*control.Member{{Address: r.Joining}},
+	})
 }
 
-// replace puts the replica at an address into the set, and returns when it
-// has its votes.
-func (s *Server) replace(ctx context.Context, r *control.ReplaceRequest, operator string) (*control.ProposeReply, error) {
-	joining, err := s.caller.Replica(r.Joining).Identify(ctx, &control.IdentifyRequest{})
-	if err != nil {
-		return nil, twirp.NewError(twirp.Unavailable, "the joining replica does not answer: "+err.Error())
+// replace puts the replicas at the addresses of those that join into the set,
+// and returns when they have their votes.
+func (s *Server) replace(ctx context.Context, r *planner.Replacement) (*control.ProposeReply, error) {
+	for _, m := range r.Joining {
+		joining, err := s.caller.Replica(m.Address).Identify(ctx, &control.IdentifyRequest{})
+		if err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, "the joining replica does not answer: "+err.Error())
+		}
+		m.Identity, m.Instance = joining.Identity, joining.Instance
 	}
 	if err := s.waitForRecords(ctx); err != nil {
 		return &control.ProposeReply{Refused: err.Error()}, nil
 	}
-	id, base := r.Id, r.Base
-	if base == 0 {
-		base = s.config.Current().Version()
-	}
-	replacement := &planner.Replacement{
-		ID: id, Base: base, Leaving: r.Leaving, Operator: operator, Time: s.clock.Now().UnixNano(),
-		Joining: &control.Member{Identity: joining.Identity, Address: r.Joining, Instance: joining.Instance},
+	if r.Base == 0 {
+		r.Base = s.config.Current().Version()
 	}
-	reply, err := s.propose(ctx, replacement.Update(), id)
+	r.Time = s.clock.Now().UnixNano()
+	reply, err := s.propose(ctx, r.Update(), r.ID)
 	if err != nil || reply.Refused != "" {
 		return reply, err
 	}
-	// The repair counts as made only when the new member has its vote on
+	// The repair counts as made only when the new members have their votes on
 	// claims as well: until then no further disk may be lost.
-	if err := s.waitForMember(ctx, replacement.Joining); err != nil {
-		return nil, err
+	for _, m := range r.Joining {
+		if err := s.waitForMember(ctx, m); err != nil {
+			return nil, err
+		}
 	}
 	return reply, nil
 }
@@ -130,10 +135,15 @@
 		s.fail("withdrawn_save", err)
 	}
 	s.log.Info("withdraw", "operator", name(ctx), "keys", len(r.Hashes))
-	if own > 0 {
-		return &control.WithdrawReply{Stored: own}, nil
+	stored := own
+	if int(stored) <= s.settings.Tolerance {
+		stored += s.withdrawAtReplicas(ctx, r)
+	}
+	if stored > 0 && int(stored) <= s.settings.Tolerance {
+		return nil, twirp.NewError(twirp.Unavailable, fmt.Sprintf(
+			"the keys are withdrawn, but only %d data folders have stored that, and the loss of %d is to be borne; withdraw them again", stored, s.settings.Tolerance))
 	}
-	return &control.WithdrawReply{Stored: s.withdrawAtReplicas(ctx, r)}, nil
+	return &control.WithdrawReply{Stored: stored}, nil
 }
 
 // Declaration implements control.Operator.
@@ -165,7 +175,7 @@
 	value := s.config.Current().Value()
 	reply := &control.StatusReply{
 		Version: value.Version, Epoch: value.Epoch, Replicas: value.Replicas,
-		Instance: s.settings.Instance, Ready: s.ready(),
+		Instance: s.settings.Instance, Ready: s.ready(), Tolerance: uint32(s.settings.Tolerance),
 	}
 	entries := s.gossip.Members()
 	survey := &survey{server: s, work: make(chan *control.Entry, len(entries)), done: make(chan *control.Entry, len(entries))}
@@ -234,7 +244,10 @@
 	value, err := s.proposer.Run(ctx, known, update)
 	var conflict *planner.ConflictError
 	var repeat *planner.RepeatError
+	var tolerance *planner.ToleranceError
 	switch {
+	case errors.As(err, &tolerance):
+		return nil, twirp.NewError(twirp.Unavailable, "not accepted yet, confirm again: "+err.Error())
 	case err == nil:
 		s.log.Info("change", "id", id, "version", value.Version, "operator", name(ctx))
 		return &control.ProposeReply{Version: value.Version}, nil
@@ -259,12 +272,15 @@
 	return 1, nil
 }
 
-// withdrawAtReplicas has the withdrawal synced on every replica in reach.
+// withdrawAtReplicas has the withdrawal synced on every other replica in reach.
 func (s *Server) withdrawAtReplicas(ctx context.Context, r *control.WithdrawRequest) uint32 {
 	var stored uint32
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	for _, m := range s.config.Current().Value().Replicas {
+		if m.Address == s.settings.Peer {
+			continue
+		}
 		w := &withdrawal{server: s, address: m.Address, request: r, group: &group, mu: &mu, stored: &stored}
 		group.Add(1)
 		go w.run(ctx)
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -95,6 +95,8 @@
 	stopping time.Time
 	draining atomic.Bool
 	isReady  atomic.Bool
+	// waived tells that the fleet has too few disks for the tolerance asked.
+	waived atomic.Bool
 }
 
 // New builds a node from its settings. Nothing listens before Run. How callers,
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -60,7 +61,11 @@
 	options                     []string
 	fault                       string
 	// connections bounds those to the target, when set.
-	connections   int
+	connections int
+	// spare is a replica that does not belong to the first set.
+	spare bool
+	// extra settings of the daemon.
+	extra         map[string]any
 	daemon, stand *exec.Cmd
 }
 
@@ -99,7 +104,7 @@
 func (f *fleet) replicas() []string {
 	var list []string
 	for _, name := range f.order {
-		if f.nodes[name].replica {
+		if f.nodes[name].replica && !f.nodes[name].spare {
 			list = append(list, f.nodes[name].peer)
 		}
 	}
@@ -118,6 +123,7 @@
 	if n.replica {
 		settings["data"] = f.path(n.name + ".data")
 	}
+	maps.Copy(settings, n.extra)
 	text, err := json.Marshal(settings)
 	f.Assert(err, qt.IsNil)
 	f.Assert(os.WriteFile(f.path(n.name+".json"), text, 0o600), qt.IsNil)
