Gossip: updates flood a graph of the own data centre, with bridges between

Cause: each node told each change 4 log2 n times to random members of the whole fleet, though a node needs each entry once, and five of six copies crossed a border. A new version was told the same way, so that its body was mostly fetched over a border as well.

Change: neighbours on a ring with strides within the data centre, unless they are known to have the update; bridges between data centres. Probes carry a digest of the table, so that a member that lost all copies compares soon.

--- a/pkg/gossiper/cut_test.go
+++ b/pkg/gossiper/cut_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -24,18 +25,26 @@
 	byAdr map[string]*runner
 	// isCut keeps the two halves apart.
 	isCut atomic.Bool
+
+	mu sync.Mutex
+	// near and far count the bytes sent within and between data centres.
+	near, far int
+	// random, when set, draws the part of the datagrams that is lost.
+	random *rand.Rand
+	part   float64
 }
 
 // runner is one node of it.
 type runner struct {
 	member
-	fleet *running
-	half  int
+	fleet  *running
+	half   int
+	centre string
 }
 
 // Send implements gossiper.Carrier.
 func (r *runner) Send(address string, p *control.Packet) {
-	if to := r.reach(address); to != nil {
+	if to := r.reach(address); to != nil && r.fleet.carry(r, to, proto.Size(p)+sealBytes) {
 		to.gossip.Receive(proto.Clone(p).(*control.Packet))
 	}
 }
@@ -46,7 +55,9 @@
 	if to == nil {
 		return nil, errors.New("out of reach")
 	}
-	return to.gossip.AnswerSync(proto.Clone(request).(*control.SyncRequest)), nil
+	reply := to.gossip.AnswerSync(proto.Clone(request).(*control.SyncRequest))
+	r.fleet.carry(r, to, proto.Size(request)+proto.Size(reply)+syncBytes)
+	return reply, nil
 }
 
 // reach returns the node at an address, or nil behind a cut.
@@ -58,14 +69,18 @@
 	return to
 }
 
-func startFleet(ctx context.Context, size int) *running {
+// syncBytes is what the headers of a comparison take, both ways.
+const syncBytes = 600
+
+// startFleet starts nodes in a number of data centres.
+func startFleet(ctx context.Context, size, centres int) *running {
 	f := &running{byAdr: map[string]*runner{}}
 	for i := range size {
-		r := &runner{fleet: f, half: i % 2, member: member{
-			name: fmt.Sprint("n", i), version: 1, merged: map[string]bool{}, quarantine: quarantiner.New(bubbleClock{}, nil),
+		r := &runner{fleet: f, half: i % 2, centre: fmt.Sprint("centre", i%centres), member: member{
+			name: fmt.Sprintf("10.%d.0.%d:7401", i%centres, i), version: 1, merged: map[string]bool{}, quarantine: quarantiner.New(bubbleClock{}, nil),
 		}}
-		self := &control.Entry{Instance: r.name, Centre: fmt.Sprint("centre", r.half), Address: r.name}
-		r.gossip = gossiper.New(self, []string{"n0", "n1"}, bubbleClock{}, r, r, rand.New(rand.NewPCG(1, uint64(i))))
+		self := &control.Entry{Instance: r.name, Centre: r.centre, Address: r.name, Service: fmt.Sprint("service", i%20), Slots: 100, Life: fmt.Sprintf("%016x", i)}
+		r.gossip = gossiper.New(self, []string{"10.0.0.0:7401", "10.1.0.1:7401"}, bubbleClock{}, r, r, rand.New(rand.NewPCG(1, uint64(i))))
 		f.nodes = append(f.nodes, r)
 		f.byAdr[r.name] = r
 	}
@@ -83,7 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const size = 20
 		ctx, cancel := context.WithCancel(t.Context())
-		f := startFleet(ctx, size)
+		f := startFleet(ctx, size, 2)
 		time.Sleep(20 * time.Second)
 		f.isCut.Store(true)
 		time.Sleep(10 * time.Second)
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -28,8 +28,8 @@
 	forgetAfter = 24 * time.Hour
 	// helpers is how many members are asked to probe a silent one.
 	helpers = 3
-	// fanout is how many members get an update in each tick.
-	fanout = 3
+	// tickBytes bounds the updates that are sent in one tick.
+	tickBytes = 3 * packetBytes
 	// packetBytes bounds the entries in one datagram.
 	packetBytes = 1100
 	// wakeGap is a pause of the process after which its view is stale.
@@ -76,8 +76,16 @@
 	lastTick  time.Time
 	// lastUrgent is when items were last sent out of the pace of ticks.
 	lastUrgent time.Time
-	// spread is how often the own version is still to be told.
-	spread int
+	// view is what updates are sent by; nil when members have come or gone.
+	view *view
+	// version says who knows the own version; nil when nobody is to be told it.
+	version *update
+	// room is how many bytes of updates may still be sent in this tick.
+	room int
+	// table is equal on nodes with the same table; changed is when it last
+	// changed.
+	table   uint64
+	changed time.Time
 	// heard are the instances from which a packet or table has come.
 	heard map[string]bool
 	// replicaAt is when a replica was last heard from.
@@ -157,10 +165,21 @@
 			next.silent = old.silent
 		}
 	}
+	old := g.members[e.Instance]
+	if old == nil || isDead(old.entry) != isDead(e) || old.entry.Centre != e.Centre || old.entry.Address != e.Address {
+		g.view = nil
+	}
+	if old != nil {
+		g.table ^= entryHash(old.entry)
+	}
+	g.table ^= entryHash(e)
+	g.changed = now
 	g.members[e.Instance] = next
 	g.generation++
 }
 
+func isDead(e *control.Entry) bool { return e.State == control.State_STATE_DEAD }
+
 // Generation changes whenever the table does.
 func (g *Gossiper) Generation() uint64 {
 	g.mu.Lock()
@@ -179,7 +198,7 @@
 func (g *Gossiper) setSelf(next *control.Entry) {
 	g.self = next
 	g.put(next, g.clock.Now())
-	g.tell(&update{entry: next.Instance})
+	g.tell(&update{entry: next.Instance}, "")
 }
 
 // Tick does what is due: probes, suspicion, updates.
@@ -196,6 +215,7 @@
 		g.lastProbe = now
 		out = append(out, g.startProbe(now)...)
 	}
+	g.room = tickBytes
 	out = append(out, g.sendUpdates()...)
 	g.mu.Unlock()
 	g.send(out)
--- a/pkg/gossiper/probes.go
+++ b/pkg/gossiper/probes.go
@@ -76,7 +76,7 @@
 	next := proto.Clone(m.entry).(*control.Entry)
 	next.State = state
 	g.put(next, now)
-	g.tell(&update{entry: next.Instance})
+	g.tell(&update{entry: next.Instance}, "")
 }
 
 // checkSuspects lets suspects die and forgets those long dead.
@@ -87,6 +87,7 @@
 		case m.entry.State == control.State_STATE_SUSPECT && age >= suspicion:
 			g.setState(m, control.State_STATE_DEAD, now)
 		case m.entry.State == control.State_STATE_DEAD && age >= forgetAfter:
+			g.table ^= entryHash(m.entry)
 			delete(g.members, name)
 			g.generation++
 		}
--- a/pkg/gossiper/queue.go
+++ b/pkg/gossiper/queue.go
@@ -1,8 +1,11 @@
 package gossiper
 
 import (
-	"container/heap"
+	"cmp"
+	"encoding/binary"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -24,12 +27,6 @@
 )
 
 const (
-	// spreadFactor times log2 of the fleet is how often an update is sent on.
-	spreadFactor = 4
-	// crashSends is how often each node sends a part of a crash on: enough for it
-	// to reach nearly all. One node that has the parts of two crashes is enough
-	// to find a request that ran at both.
-	crashSends = 6
 	// maxCrashes bounds the parts of crashes that wait; those sent most often
 	// make room.
 	maxCrashes = 512
@@ -37,18 +34,21 @@
 	fieldBytes = 4
 )
 
-// update is one thing to tell, with how often it is still to be sent. Exactly
-// one of the first four fields is set.
+// update is one thing to tell. Exactly one of the first four fields is set.
 type update struct {
 	entry     string
 	withdrawn []byte
 	suspect   *control.Suspect
 	crash     *control.Crash
 
-	sent, left int
+	// own tells that it was first told by this node.
+	own bool
+	// known are the members that have it: it came from them or was sent to
+	// them. knownIn are the data centres of which one has it.
+	known, knownIn []string
+	sent           int
 	// order is that of arrival.
 	order uint64
-	index int
 }
 
 func (u *update) kind() kind {
@@ -68,105 +68,103 @@
 	switch u.kind() {
 	case kindSuspect:
 		return "s" + string(u.suspect.Digest)
-	case kindEntry:
-		return "e" + u.entry
+	case kindWithdrawn:
+		return "w" + string(u.withdrawn)
+	case kindCrash:
+		key := binary.BigEndian.AppendUint64([]byte("c"), u.crash.Id)
+		return string(binary.BigEndian.AppendUint64(key, xxhash.Sum64(u.crash.Digests)))
 	}
-	return ""
+	return "e" + u.entry
 }
 
-// updateHeap has the update first that was sent least often, then the oldest.
-type updateHeap []*update
-
-// Len implements heap.Interface.
-func (h updateHeap) Len() int { return len(h) }
-
-// Less implements heap.Interface.
-func (h updateHeap) Less(i, j int) bool {
-	if h[i].sent != h[j].sent {
-		return h[i].sent < h[j].sent
+// know notes that a member has the update.
+func (u *update) know(instance, centre string) {
+	if !slices.Contains(u.known, instance) {
+		u.known = append(u.known, instance)
+	}
+	if !slices.Contains(u.knownIn, centre) {
+		u.knownIn = append(u.knownIn, centre)
 	}
-	return h[i].order < h[j].order
-}
-
-// Swap implements heap.Interface.
-func (h updateHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *updateHeap) Push(x any) {
-	u := x.(*update)
-	u.index = len(*h)
-	*h = append(*h, u)
-}
-
-// Pop implements heap.Interface.
-func (h *updateHeap) Pop() any {
-	last := len(*h) - 1
-	u := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return u
 }
 
-// queue holds what is to be told, by kind. The zero value works.
+// queue holds what is to be told, by key. The zero value works.
 type queue struct {
-	waiting [kinds]updateHeap
-	byKey   map[string]*update
+	waiting map[string]*update
+	counts  [kinds]int
 	arrived uint64
 }
 
 // add takes an update, in place of an older one about the same thing.
 func (q *queue) add(u *update) {
+	if q.waiting == nil {
+		q.waiting = map[string]*update{}
+	}
 	q.arrived++
 	u.order = q.arrived
-	h := &q.waiting[u.kind()]
-	if key := u.key(); key != "" {
-		if q.byKey == nil {
-			q.byKey = map[string]*update{}
-		}
-		if old, ok := q.byKey[key]; ok {
-			heap.Remove(h, old.index)
-		}
-		q.byKey[key] = u
+	key := u.key()
+	if _, ok := q.waiting[key]; !ok {
+		q.counts[u.kind()]++
 	}
-	heap.Push(h, u)
-	if u.crash != nil && h.Len() > maxCrashes {
-		q.dropMostSent(h)
+	q.waiting[key] = u
+	if u.crash != nil && q.counts[kindCrash] > maxCrashes {
+		q.dropMostSent(kindCrash)
 	}
 }
 
-// dropMostSent makes room among updates without a key.
-func (q *queue) dropMostSent(h *updateHeap) {
-	most := (*h)[0]
-	for _, u := range *h {
-		if u.sent > most.sent {
+// find returns the update that waits about the same thing as another one.
+func (q *queue) find(u *update) *update { return q.waiting[u.key()] }
+
+func (q *queue) drop(u *update) {
+	delete(q.waiting, u.key())
+	q.counts[u.kind()]--
+}
+
+func (q *queue) dropMostSent(k kind) {
+	var most *update
+	for _, u := range q.waiting {
+		if u.kind() == k && (most == nil || u.sent > most.sent || u.sent == most.sent && u.order < most.order) {
 			most = u
 		}
 	}
-	heap.Remove(h, most.index)
+	q.drop(most)
 }
 
 // len is how many updates wait.
-func (q *queue) len() int {
-	n := 0
-	for _, h := range q.waiting {
-		n += h.Len()
+func (q *queue) len() int { return len(q.waiting) }
+
+// inOrder lists what waits: what was sent least often first, then the oldest.
+func (q *queue) inOrder() []*update {
+	list := make([]*update, 0, len(q.waiting))
+	for _, u := range q.waiting {
+		list = append(list, u)
 	}
-	return n
+	slices.SortFunc(list, func(a, b *update) int {
+		if a.sent != b.sent {
+			return cmp.Compare(a.sent, b.sent)
+		}
+		return cmp.Compare(a.order, b.order)
+	})
+	return list
+}
+
+// batch is what one member is still to be told, by kind.
+type batch struct {
+	to    *control.Entry
+	lists [kinds][]*update
 }
 
+func (b *batch) add(u *update) { b.lists[u.kind()] = append(b.lists[u.kind()], u) }
+
 // take picks updates for a packet with room for so many bytes. Each kind may
 // fill its share, and go over it with the last one if that still fits; what is
 // left goes to the most urgent.
-func (q *queue) take(room int, size func(*update) int) []*update {
+func (b *batch) take(room int, size func(*update) int) []*update {
 	var taken []*update
 	share := room / int(kinds)
 	for k := range kinds {
 		used := 0
 		for used < share {
-			u := q.next(k, room, size)
+			u := b.next(k, room, size)
 			if u == nil {
 				break
 			}
@@ -176,38 +174,22 @@
 		}
 	}
 	for k := range kinds {
-		for u := q.next(k, room, size); u != nil; u = q.next(k, room, size) {
+		for u := b.next(k, room, size); u != nil; u = b.next(k, room, size) {
 			room -= size(u)
 			taken = append(taken, u)
 		}
 	}
-	for _, u := range taken {
-		q.finish(u)
-	}
 	return taken
 }
 
-// next takes the first update of a kind out of the queue if it fits.
-func (q *queue) next(k kind, room int, size func(*update) int) *update {
-	h := &q.waiting[k]
-	if h.Len() == 0 || size((*h)[0]) > room {
+// next takes the first update of a kind out of the batch if it fits.
+func (b *batch) next(k kind, room int, size func(*update) int) *update {
+	list := b.lists[k]
+	if len(list) == 0 || size(list[0]) > room {
 		return nil
 	}
-	return heap.Pop(h).(*update)
-}
-
-// finish notes that an update was sent, and puts it back if it is to be sent
-// again.
-func (q *queue) finish(u *update) {
-	u.sent++
-	u.left--
-	if u.left > 0 {
-		heap.Push(&q.waiting[u.kind()], u)
-		return
-	}
-	if key := u.key(); key != "" {
-		delete(q.byKey, key)
-	}
+	b.lists[k] = list[1:]
+	return list[0]
 }
 
 // size is what an update takes in a packet.
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -18,6 +18,12 @@
 	syncSoon = 200 * time.Millisecond
 	// syncGap is the least time between comparisons that probes ask for.
 	syncGap = time.Second
+	// quietGap is how long a table must not have changed before a node with
+	// another one is asked: updates reach all within that time.
+	quietGap = 500 * time.Millisecond
+	// syncChoices is among how many random members one of the own data centre is
+	// looked for; at times there is none, so that data centres compare too.
+	syncChoices = 3
 	// syncLost is how many comparisons out of ten go to a lost address.
 	syncLost = 3
 )
@@ -32,13 +38,16 @@
 	g.mu.Lock()
 	g.heard[p.From] = true
 	now := g.clock.Now()
-	g.mergeEntries(p.Entries, now)
+	g.mergeEntries(p.Entries, p.From, now)
 	if m, ok := g.members[p.From]; ok && m.entry.Replica {
 		g.replicaAt = now
 	}
 	out := g.answer(p, now)
 	g.compareNews(p, now)
 	own := g.source.Version()
+	if g.version != nil && p.Version >= own {
+		g.knows(g.version, p.From)
+	}
 	doubted := g.doubted(p.From)
 	if p.Kind == control.Kind_KIND_UPDATE && (p.Version < own || doubted != nil) {
 		out = append(out, letter{address: p.Address, packet: g.packet(control.Kind_KIND_REPLY, 0)})
@@ -48,20 +57,26 @@
 		last := out[len(out)-1].packet
 		last.Entries = append(last.Entries, doubted)
 	}
+	items := Items{Withdrawn: p.Withdrawn, Suspects: p.Suspects, Crashes: p.Crashes}
+	for _, u := range items.updates() {
+		g.hearAgain(u, p.From)
+	}
 	g.mu.Unlock()
-	g.mergeItems(Items{Withdrawn: p.Withdrawn, Suspects: p.Suspects, Crashes: p.Crashes})
+	g.mergeItems(items, p.From)
 	if p.Version > own {
 		g.source.Hear(p.Version, p.Address)
 	}
 	g.send(out)
 }
 
-// compareNews asks for a comparison of tables with a node that knows other keys
-// or decisions than this one: it was started, cut off or frozen, or this one
+// compareNews asks for a comparison of tables with a node that knows other keys,
+// decisions or members than this one: it was started, cut off or frozen, or this one
 // was. Updates that are under way settle most differences before.
 func (g *Gossiper) compareNews(p *control.Packet, now time.Time) {
 	probed := p.Kind == control.Kind_KIND_PING || p.Kind == control.Kind_KIND_REPLY
-	if !probed || p.News == g.source.Digest() || now.Sub(g.lastSync) < syncGap {
+	// A table that has changed just now differs while the change is under way.
+	table := p.Table != 0 && p.Table != g.table && now.Sub(g.changed) >= quietGap
+	if !probed || p.News == g.source.Digest() && !table || now.Sub(g.lastSync) < syncGap {
 		return
 	}
 	select {
@@ -106,13 +121,13 @@
 }
 
 // mergeItems passes items on to the node, and spreads what was new.
-func (g *Gossiper) mergeItems(items Items) {
+func (g *Gossiper) mergeItems(items Items, from string) {
 	if !items.isEmpty() {
-		g.Tell(g.source.Merge(items))
+		g.tellItems(g.source.Merge(items), from)
 	}
 }
 
-func (g *Gossiper) mergeEntries(entries []*control.Entry, now time.Time) {
+func (g *Gossiper) mergeEntries(entries []*control.Entry, from string, now time.Time) {
 	for _, e := range entries {
 		if e.Instance == g.self.Instance {
 			g.refute(e)
@@ -120,10 +135,13 @@
 		}
 		old, ok := g.members[e.Instance]
 		if ok && !supersedes(e, old.entry) {
+			if !supersedes(old.entry, e) {
+				g.hearAgain(&update{entry: e.Instance}, from)
+			}
 			continue
 		}
 		g.put(e, now)
-		g.tell(&update{entry: e.Instance})
+		g.tell(&update{entry: e.Instance}, from)
 	}
 }
 
@@ -166,7 +184,8 @@
 	}
 }
 
-// syncAddress picks a live member, or at times a lost one.
+// syncAddress picks a live member, rather of the own data centre, or at times a
+// lost one.
 func (g *Gossiper) syncAddress() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -174,7 +193,13 @@
 	if lost != "" && g.random.IntN(10) < syncLost {
 		return lost
 	}
-	if picked := g.pick(1, ""); len(picked) > 0 {
+	picked := g.pick(syncChoices, "")
+	for _, e := range picked {
+		if e.Centre == g.self.Centre {
+			return e.Address
+		}
+	}
+	if len(picked) > 0 {
 		return picked[0].Address
 	}
 	return lost
@@ -195,14 +220,14 @@
 	digest := g.source.Digest()
 	g.mu.Lock()
 	g.heard[r.From] = true
-	g.mergeEntries(r.Entries, g.clock.Now())
+	g.mergeEntries(r.Entries, r.From, g.clock.Now())
 	reply := &control.SyncReply{
 		Entries: g.differing(r.Buckets), Buckets: g.buckets(),
 		Version: g.source.Version(), Withdrawals: digest, From: g.self.Instance,
 	}
 	own := reply.Version
 	g.mu.Unlock()
-	g.mergeItems(Items{Withdrawn: r.Withdrawn, Suspects: r.Suspects})
+	g.mergeItems(Items{Withdrawn: r.Withdrawn, Suspects: r.Suspects}, r.From)
 	if digest != r.Withdrawals {
 		all := g.source.All()
 		reply.Withdrawn, reply.Suspects = all.Withdrawn, all.Suspects
@@ -218,10 +243,10 @@
 	g.mu.Lock()
 	theirs := g.differing(reply.Buckets)
 	g.heard[reply.From] = true
-	g.mergeEntries(reply.Entries, g.clock.Now())
+	g.mergeEntries(reply.Entries, reply.From, g.clock.Now())
 	own := g.source.Version()
 	g.mu.Unlock()
-	g.mergeItems(Items{Withdrawn: reply.Withdrawn, Suspects: reply.Suspects})
+	g.mergeItems(Items{Withdrawn: reply.Withdrawn, Suspects: reply.Suspects}, reply.From)
 	if reply.Version > own {
 		g.source.Hear(reply.Version, address)
 	}
