Traffic: bytes between nodes are counted by kind and border

Each message, datagram and request now counts towards primrose_traffic_bytes_total by kind and border, and a node writes a `traffic` line with its sums every 10 s. No decision depends on it.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -5,6 +5,8 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"path"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,15 +35,35 @@
 	peers    map[string]control.Peer
 }
 
+// Meter hears of the bytes of each message to an address and of its answer.
+type Meter func(address, kind string, bytes int64)
+
+// metered is a transport that tells a meter of each message.
+type metered struct {
+	next  http.RoundTripper
+	meter Meter
+}
+
+// RoundTrip implements http.RoundTripper.
+func (m *metered) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := m.next.RoundTrip(r)
+	bytes := max(r.ContentLength, 0)
+	if err == nil {
+		bytes += max(response.ContentLength, 0)
+	}
+	m.meter(r.URL.Host, strings.ToLower(path.Base(r.URL.Path)), bytes)
+	return response, err
+}
+
 // New makes a caller.
-func New(settings *tls.Config) *Caller {
+func New(settings *tls.Config, meter Meter) *Caller {
 	transport := &http.Transport{
 		DialContext:     dialer.Dial,
 		TLSClientConfig: settings, TLSHandshakeTimeout: handshakeTimeout,
 		MaxIdleConns: idleTotal, MaxIdleConnsPerHost: idlePerNode, IdleConnTimeout: idleTimeout,
 	}
 	return &Caller{
-		client:   &http.Client{Transport: transport},
+		client:   &http.Client{Transport: &metered{next: transport, meter: meter}},
 		scheme:   schemeOf(settings),
 		replicas: map[string]control.Replica{}, peers: map[string]control.Peer{},
 	}
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -76,6 +76,8 @@
 	Suspect func(*Target)
 	// Succeeded hears of every request that a target has answered with success.
 	Succeeded func(digest []byte)
+	// Sent hears of the bytes of each request to another node and of its answer.
+	Sent func(centre string, bytes int64)
 	// Retries bounds what this node may send again.
 	Retries func() retrier.Bounds
 	// Draining tells that the node is about to stop.
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -287,6 +287,9 @@
 // take handles what the target's node has answered.
 func (a *attempt) take(x *Exchange, r *http.Response, part uint32) {
 	f := a.filter.forwarder
+	if f.deps.Sent != nil {
+		f.deps.Sent(a.target.Centre, max(x.request.ContentLength, 0)+max(r.ContentLength, 0))
+	}
 	if left, err := strconv.ParseUint(r.Header.Get(headerRetries), 10, 32); err == nil {
 		x.budget.Return(min(uint32(left), part))
 	}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -63,10 +63,12 @@
 	source  Source
 	seeds   []string
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	self     *control.Entry
-	members  map[string]*member
+	mu      sync.Mutex
+	random  *rand.Rand
+	self    *control.Entry
+	members map[string]*member
+	// places are the data centres by address.
+	places   map[string]string
 	queue    queue
 	probes   map[uint64]*probe
 	sequence uint64
@@ -104,7 +106,7 @@
 	self.Incarnation = max(self.Incarnation, 1)
 	g := &Gossiper{
 		clock: clock, carrier: carrier, source: source, seeds: seeds, random: random,
-		self: self, members: map[string]*member{}, probes: map[uint64]*probe{}, heard: map[string]bool{},
+		self: self, members: map[string]*member{}, places: map[string]string{}, probes: map[uint64]*probe{}, heard: map[string]bool{},
 		differs: make(chan string, 1),
 	}
 	g.put(self, clock.Now())
@@ -175,6 +177,7 @@
 	g.table ^= entryHash(e)
 	g.changed = now
 	g.members[e.Instance] = next
+	g.places[e.Address] = e.Centre
 	g.generation++
 }
 
--- a/pkg/gossiper/table.go
+++ b/pkg/gossiper/table.go
@@ -101,6 +101,14 @@
 	return nil
 }
 
+// Centre returns the data centre of the node at an address; empty when it is
+// not known.
+func (g *Gossiper) Centre(address string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.places[address]
+}
+
 // Replicas lists the disks that nodes have announced, dead nodes included, and
 // since when each node has been out of reach.
 func (g *Gossiper) Replicas() []healer.Replica {
--- a/pkg/measurer/measurer.go
+++ b/pkg/measurer/measurer.go
@@ -27,6 +27,7 @@
 	hops     *prometheus.CounterVec
 	events   *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	traffic  *prometheus.CounterVec
 }
 
 // New makes a measurer with the gauges given.
@@ -46,7 +47,10 @@
 			Name: "primrose_latency_seconds", Help: "Time from the arrival of a request to its answer.", Buckets: buckets,
 		}, []string{"side", "outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.hops, m.events, m.latency)
+	m.traffic = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "primrose_traffic_bytes_total", Help: "Bytes of messages sent to other nodes and of their answers, without headers, by kind and by whether the other node is in the own data centre (near) or not (far).",
+	}, []string{"kind", "border"})
+	m.registry.MustRegister(m.requests, m.hops, m.events, m.latency, m.traffic)
 	for _, g := range gauges {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.Name, Help: g.Help}, g.Read))
 	}
@@ -70,6 +74,15 @@
 	m.events.WithLabelValues(name).Add(float64(delta))
 }
 
+// Traffic counts bytes of a kind, to a node in another data centre if far.
+func (m *Measurer) Traffic(kind string, far bool, bytes int64) {
+	border := "near"
+	if far {
+		border = "far"
+	}
+	m.traffic.WithLabelValues(kind, border).Add(float64(bytes))
+}
+
 // Handler serves the metrics.
 func (m *Measurer) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -81,6 +94,7 @@
 	m.Request("", "", "", "", 0)
 	m.Hop("", "", 0)
 	m.Event("", 0)
+	m.Traffic("", false, 0)
 	families, err := m.registry.Gather()
 	if err != nil {
 		return nil, err
--- a/pkg/server/carrier.go
+++ b/pkg/server/carrier.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosewall/primrosewall/pkg/caller"
 	"github.com/primrosewall/primrosewall/pkg/sealer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -21,6 +22,7 @@
 	sealer  *sealer.Sealer
 	receive func(*control.Packet)
 	count   func(name string, delta int64)
+	meter   caller.Meter
 }
 
 func listenUDP(address string, s *sealer.Sealer, count func(string, int64)) (*carrier, error) {
@@ -50,6 +52,7 @@
 		return
 	}
 	c.count("gossip_bytes_out", int64(len(sealed)))
+	c.meter(address, "gossip", int64(len(sealed)))
 	// A lost datagram is made good by later ones.
 	_, _ = c.conn.WriteToUDP(sealed, at)
 }
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -26,6 +26,7 @@
 		s.holder,
 		s.spender,
 		s.announcer,
+		s.traffic,
 	}
 	if s.folder != nil {
 		list = append(list, &joiner{s}, &reader{server: s}, &copier{server: s}, &historian{s}, &opener{s})
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -75,6 +75,7 @@
 	withdrawn  *withdrawer.Withdrawer
 	quarantine *quarantiner.Quarantiner
 
+	traffic   *traffic
 	caller    *caller.Caller
 	carrier   *carrier
 	source    *source
@@ -109,6 +110,7 @@
 		settings: settings, clock: clock, log: log, started: clock.Now(), face: face,
 		metrics: new(expvar.Map), sealer: sealer.Plain(),
 	}
+	s.traffic = &traffic{server: s}
 	s.quarantine = quarantiner.New(clock, &verdicts{s})
 	s.live.Store(settings)
 	s.measurer = measurer.New(s.gauges())
@@ -177,7 +179,7 @@
 // buildState makes what keeps the node's state.
 func (s *Server) buildState() {
 	life := randomName()
-	s.caller = caller.New(s.sealer.Client())
+	s.caller = caller.New(s.sealer.Client(), s.traffic.message)
 	s.fetcher = newFetcher(s.caller, s.config, s.offer, s.folder != nil)
 	s.source = &source{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, fail: s.fail}
 	self := &control.Entry{
@@ -187,7 +189,7 @@
 	if s.folder != nil {
 		self.Identity = s.folder.Identity()
 	}
-	s.carrier = &carrier{sealer: s.sealer, count: s.count}
+	s.carrier = &carrier{sealer: s.sealer, count: s.count, meter: s.traffic.message}
 	s.gossip = gossiper.New(self, s.seeds(), s.clock, s.carrier, s.source, newRandom())
 	s.carrier.receive = s.gossip.Receive
 	s.directory = &directory{gossip: s.gossip, config: s.config, caller: s.caller, centre: s.settings.Centre, clock: s.clock, holders: map[string]string{}, doubted: map[string]time.Time{}}
@@ -244,7 +246,7 @@
 		Target:      func() *forwarder.Target { return s.announcer.Target() },
 		Ready:       s.ready, InContact: s.inContact,
 		Suspect: func(t *forwarder.Target) { s.announcer.Suspect(t) },
-		Retries: s.retries, Succeeded: s.succeeded, Draining: s.draining.Load,
+		Sent:    s.traffic.request, Retries: s.retries, Succeeded: s.succeeded, Draining: s.draining.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 }
--- /dev/null
+++ b/pkg/server/traffic.go
@@ -0,0 +1,66 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// trafficPeriod is the time between two lines with the bytes sent since the
+// start.
+const trafficPeriod = 10 * time.Second
+
+// traffic counts the bytes that this node sends to others and gets in answer.
+type traffic struct {
+	server *Server
+
+	mu sync.Mutex
+	// far are the bytes over a border by kind, near all others.
+	far  map[string]int64
+	near int64
+}
+
+// message implements caller.Meter.
+func (t *traffic) message(address, kind string, bytes int64) {
+	t.add(kind, t.server.gossip.Centre(address), bytes)
+}
+
+// request counts a request and its answer.
+func (t *traffic) request(centre string, bytes int64) { t.add("request", centre, bytes) }
+
+func (t *traffic) add(kind, centre string, bytes int64) {
+	far := centre != t.server.settings.Centre
+	t.server.measurer.Traffic(kind, far, bytes)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !far {
+		t.near += bytes
+		return
+	}
+	if t.far == nil {
+		t.far = map[string]int64{}
+	}
+	t.far[kind] += bytes
+}
+
+// Run implements Controller.
+func (t *traffic) Run(ctx context.Context) {
+	t.server.every(ctx, trafficPeriod, func(context.Context) { t.write() })
+}
+
+// write logs the bytes so far, those over a border by kind.
+func (t *traffic) write() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fields := []any{"near", t.near}
+	kinds := make([]string, 0, len(t.far))
+	for kind := range t.far {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	for _, kind := range kinds {
+		fields = append(fields, "far_"+kind, t.far[kind])
+	}
+	t.server.log.Info("traffic", fields...)
+}
