Fetcher: a version is fetched once

Cause: each node that told of a new version was remembered as a place to fetch it from, and all of them were asked in turn, the whole body each time, although the first had brought it.

Change: a fetch is skipped when the version has come meanwhile, and the asker says which version it has, so that nothing older is sent.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -131,3 +131,8 @@
 func (c *Caller) Sync(ctx context.Context, address string, r *control.SyncRequest) (*control.SyncReply, error) {
 	return c.Peer(address).Sync(ctx, r)
 }
+
+// Fetch asks the node at an address for its configuration.
+func (c *Caller) Fetch(ctx context.Context, address string, r *control.FetchRequest) (*control.Value, error) {
+	return c.Peer(address).Fetch(ctx, r)
+}
--- a/pkg/server/fetcher.go
+++ b/pkg/server/fetcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/primrosewall/primrosewall/pkg/caller"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -14,17 +13,26 @@
 
 // fetcher fetches a configuration from a node that has a higher version.
 type fetcher struct {
-	caller *caller.Caller
+	ask    asking
 	config *enforcer.Enforcer
 	offer  func(*control.Value)
 	// whole tells that this node is a replica.
 	whole bool
 
-	wake chan string
+	wake chan news
 }
 
-func newFetcher(c *caller.Caller, config *enforcer.Enforcer, offer func(*control.Value), whole bool) *fetcher {
-	return &fetcher{caller: c, config: config, offer: offer, whole: whole, wake: make(chan string, 4)}
+// asking asks the node at an address for its configuration.
+type asking func(ctx context.Context, address string, r *control.FetchRequest) (*control.Value, error)
+
+// news is a version that the node at an address has.
+type news struct {
+	version uint64
+	address string
+}
+
+func newFetcher(ask asking, config *enforcer.Enforcer, offer func(*control.Value), whole bool) *fetcher {
+	return &fetcher{ask: ask, config: config, offer: offer, whole: whole, wake: make(chan news, 4)}
 }
 
 // want notes that the node at address has a version.
@@ -33,7 +41,7 @@
 		return
 	}
 	select {
-	case f.wake <- address:
+	case f.wake <- news{version, address}:
 	default:
 	}
 }
@@ -46,8 +54,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case address := <-f.wake:
-			f.fetch(ctx, address)
+		case n := <-f.wake:
+			// Several nodes tell of the same version.
+			if n.version > f.config.Current().Version() {
+				f.fetch(ctx, n.address)
+			}
 		}
 	}
 }
@@ -64,7 +75,7 @@
 		}
 	}
 	for _, a := range addresses {
-		value, err := f.caller.Peer(a).Fetch(ctx, &control.FetchRequest{Whole: f.whole})
+		value, err := f.ask(ctx, a, &control.FetchRequest{Whole: f.whole, Above: f.config.Current().Version()})
 		if err == nil && value.Version > f.config.Current().Version() {
 			f.offer(value)
 			return
--- /dev/null
+++ b/pkg/server/fetcher_test.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// library gives a value to all who fetch it, after a while, and counts.
+type library struct {
+	mu     sync.Mutex
+	value  *control.Value
+	bodies int
+}
+
+func (l *library) fetch(_ context.Context, _ string, r *control.FetchRequest) (*control.Value, error) {
+	time.Sleep(10 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.value.Version <= r.Above {
+		return &control.Value{}, nil
+	}
+	l.bodies++
+	return l.value, nil
+}
+
+// TestVersionIsFetchedAgain has many neighbours tell of one new version while
+// it is being fetched.
+func TestVersionIsFetchedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config, err := enforcer.Open(nil, nil)
+		qt.Assert(t, err, qt.IsNil)
+		l := &library{value: &control.Value{Version: 2}}
+		f := newFetcher(l.fetch, config, func(v *control.Value) { _, _ = config.Offer(v) }, false)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		for range 10 {
+			f.want(2, "neighbour")
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		qt.Check(t, config.Current().Version(), qt.Equals, uint64(2))
+		qt.Check(t, l.bodies, qt.Equals, 1)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -180,7 +180,7 @@
 func (s *Server) buildState() {
 	life := randomName()
 	s.caller = caller.New(s.sealer.Client(), s.traffic.message)
-	s.fetcher = newFetcher(s.caller, s.config, s.offer, s.folder != nil)
+	s.fetcher = newFetcher(s.caller.Fetch, s.config, s.offer, s.folder != nil)
 	s.source = &source{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, fail: s.fail}
 	self := &control.Entry{
 		Instance: s.settings.Instance, Centre: s.settings.Centre, Address: s.settings.Peer,
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -92,6 +92,9 @@
 // Fetch implements control.Peer.
 func (p *peerService) Fetch(_ context.Context, r *control.FetchRequest) (*control.Value, error) {
 	value := p.server.config.Current().Value()
+	if value.Version <= r.Above {
+		return &control.Value{}, nil
+	}
 	if r.Whole && value.Brief {
 		return nil, twirp.NewError(twirp.FailedPrecondition, "this instance does not have the whole value")
 	}
