Router: a choice costs the same however many targets there are

Cause: each choice filtered all members of the service several times and sorted them by a hash of joined strings, the far ones too when a near one was taken; the index of services was made anew from the whole table, under the lock that each choice takes, whenever one member changed.

Change: whom this node uses is chosen when the list of a service changes; the gossip keeps the index, a change costs its service. The rule of choice is the same: two random ones among at most 20 usable, by rank of the same hash.

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -63,10 +63,13 @@
 	source  Source
 	seeds   []string
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	self    *control.Entry
-	members map[string]*member
+	mu       sync.Mutex
+	random   *rand.Rand
+	self     *control.Entry
+	members  map[string]*member
+	services services
+	// beside is how many members are no replicas.
+	beside int
 	// places are the data centres by address.
 	places   map[string]string
 	queue    queue
@@ -174,6 +177,10 @@
 	if old != nil {
 		g.table ^= entryHash(old.entry)
 	}
+	if old == nil && !e.Replica {
+		g.beside++
+	}
+	g.services.put(old, e)
 	g.table ^= entryHash(e)
 	g.changed = now
 	g.members[e.Instance] = next
--- a/pkg/gossiper/probes.go
+++ b/pkg/gossiper/probes.go
@@ -88,6 +88,10 @@
 			g.setState(m, control.State_STATE_DEAD, now)
 		case m.entry.State == control.State_STATE_DEAD && age >= forgetAfter:
 			g.table ^= entryHash(m.entry)
+			g.services.put(m, nil)
+			if !m.entry.Replica {
+				g.beside--
+			}
 			delete(g.members, name)
 			g.generation++
 		}
--- a/pkg/gossiper/table.go
+++ b/pkg/gossiper/table.go
@@ -101,6 +101,22 @@
 	return nil
 }
 
+// Service lists the members that announce a service and take new work, in order
+// of their names. A list is never changed; a change of one of its members makes
+// another one.
+func (g *Gossiper) Service(name string) []*control.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.services.list(name)
+}
+
+// Beside is how many members are known that are no replicas, dead ones included.
+func (g *Gossiper) Beside() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.beside
+}
+
 // Centre returns the data centre of the node at an address; empty when it is
 // not known.
 func (g *Gossiper) Centre(address string) string {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -5,9 +5,10 @@
 package router
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 }
 
 // Router chooses targets. Members are given with each choice, so the router
-// holds nothing but experience.
+// holds nothing but experience, and whom it uses of the last list.
 type Router struct {
 	clock    timekeeper.Clock
 	instance string
@@ -81,29 +82,62 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	seen   map[string]*experience
+	// services are the candidates by service.
+	services map[string]*candidates
 }
 
 // New makes a router for a node.
 func New(clock timekeeper.Clock, instance, centre string, random *rand.Rand) *Router {
-	return &Router{clock: clock, instance: instance, centre: centre, random: random, seen: map[string]*experience{}}
+	return &Router{clock: clock, instance: instance, centre: centre, random: random, seen: map[string]*experience{}, services: map[string]*candidates{}}
 }
 
-// Choose picks a target's entry among members, preferring targets not tried yet
-// for this request and, unless its targets are full, the own data centre. It
-// returns nil if there is none.
+// candidates are the members of a service that this node uses, in the own data
+// centre and elsewhere.
+type candidates struct {
+	// members is the list that they were chosen from.
+	members   []*control.Entry
+	near, far []*control.Entry
+}
+
+// candidates chooses anew only when the list of members is another one, so that
+// a request costs the same however many there are.
+func (r *Router) candidates(members []*control.Entry) *candidates {
+	service := members[0].Service
+	c, ok := r.services[service]
+	if ok && len(c.members) == len(members) && &c.members[0] == &members[0] {
+		return c
+	}
+	c = &candidates{members: members}
+	for _, e := range members {
+		if e.Centre == r.centre {
+			c.near = append(c.near, e)
+		} else {
+			c.far = append(c.far, e)
+		}
+	}
+	c.near, c.far = r.subset(c.near), r.subset(c.far)
+	r.services[service] = c
+	return c
+}
+
+// Choose picks a target's entry among the members of a service, preferring
+// targets not tried yet for this request and, unless its targets are full, the
+// own data centre. It returns nil if there is none. The list must not be changed
+// afterwards.
 func (r *Router) Choose(members []*control.Entry, tried map[string]bool) *control.Entry {
+	if len(members) == 0 {
+		return nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	fresh := filter(members, func(e *control.Entry) bool { return !tried[e.Instance] })
-	for _, group := range [][]*control.Entry{fresh, members} {
-		local := r.subset(filter(group, func(e *control.Entry) bool { return e.Centre == r.centre }))
-		remote := r.subset(filter(group, func(e *control.Entry) bool { return e.Centre != r.centre }))
-		near := r.pick(r.usable(local, now), now)
+	c := r.candidates(members)
+	for _, passed := range []map[string]bool{tried, nil} {
+		near := r.pick(c.near, passed, now)
 		if near != nil && r.load(near, now) < fullLoad {
 			return r.begin(near)
 		}
-		far := r.pick(r.usable(remote, now), now)
+		far := r.pick(c.far, passed, now)
 		if near != nil && (far == nil || r.load(far, now) > r.load(near, now)-loadMargin) {
 			return r.begin(near)
 		}
@@ -112,10 +146,7 @@
 		}
 	}
 	// All are ejected: any is better than none.
-	if len(members) > 0 {
-		return r.begin(members[r.random.IntN(len(members))])
-	}
-	return nil
+	return r.begin(members[r.random.IntN(len(members))])
 }
 
 func (r *Router) begin(e *control.Entry) *control.Entry {
@@ -128,28 +159,37 @@
 	if len(members) <= subset {
 		return members
 	}
-	rank := func(e *control.Entry) uint64 { return xxhash.Sum64String(r.instance + "/" + e.Instance) }
-	sort.Slice(members, func(i, j int) bool { return rank(members[i]) > rank(members[j]) })
+	ranks := make(map[*control.Entry]uint64, len(members))
+	for _, e := range members {
+		ranks[e] = xxhash.Sum64String(r.instance + "/" + e.Instance)
+	}
+	slices.SortFunc(members, func(a, b *control.Entry) int { return cmp.Compare(ranks[b], ranks[a]) })
 	return members[:subset]
 }
 
-func (r *Router) usable(members []*control.Entry, now time.Time) []*control.Entry {
-	return filter(members, func(e *control.Entry) bool {
-		x := r.experience(e.Instance)
-		if x.ejected.IsZero() || !now.Before(x.ejected) {
-			return x.ejected.IsZero() || x.inflight == 0
-		}
-		return false
-	})
+func (r *Router) usable(e *control.Entry, now time.Time) bool {
+	x := r.experience(e.Instance)
+	if x.ejected.IsZero() || !now.Before(x.ejected) {
+		return x.ejected.IsZero() || x.inflight == 0
+	}
+	return false
 }
 
-// pick compares two random members.
-func (r *Router) pick(members []*control.Entry, now time.Time) *control.Entry {
-	if len(members) == 0 {
+// pick compares two random members that are usable and were not tried.
+func (r *Router) pick(members []*control.Entry, tried map[string]bool, now time.Time) *control.Entry {
+	var usable [subset]*control.Entry
+	count := 0
+	for _, e := range members {
+		if !tried[e.Instance] && r.usable(e, now) {
+			usable[count] = e
+			count++
+		}
+	}
+	if count == 0 {
 		return nil
 	}
-	a := members[r.random.IntN(len(members))]
-	b := members[r.random.IntN(len(members))]
+	a := usable[r.random.IntN(count)]
+	b := usable[r.random.IntN(count)]
 	if r.score(b, now) < r.score(a, now) {
 		return b
 	}
@@ -238,13 +278,3 @@
 	x.spell = min(max(2*x.spell, ejectFirst), ejectMost)
 	x.ejected = now.Add(x.spell)
 }
-
-func filter(members []*control.Entry, keep func(*control.Entry) bool) []*control.Entry {
-	kept := make([]*control.Entry, 0, len(members))
-	for _, e := range members {
-		if keep(e) {
-			kept = append(kept, e)
-		}
-	}
-	return kept
-}
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -15,8 +15,7 @@
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
-// directory finds instances by service and holders by team. It keeps an index
-// of the gossip table.
+// directory finds instances by service and holders by team.
 type directory struct {
 	gossip *gossiper.Gossiper
 	config *enforcer.Enforcer
@@ -24,9 +23,7 @@
 	centre string
 	clock  timekeeper.Clock
 
-	mu         sync.Mutex
-	generation uint64
-	services   map[string][]*control.Entry
+	mu sync.Mutex
 	// most is the highest number of targets seen at a time.
 	most int
 	// holders remembers who last held a shard, by the name of its lease.
@@ -38,45 +35,14 @@
 var errUnknown = errors.New("instance is not known")
 
 // targets lists the targets of a service that take new work.
-func (d *directory) targets(service string) []*control.Entry {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.refresh()
-	return d.services[service]
-}
-
-func (d *directory) refresh() {
-	if g := d.gossip.Generation(); g != d.generation || d.services == nil {
-		members := d.gossip.Members()
-		d.services = indexServices(members)
-		d.generation = g
-		count := 0
-		for _, e := range members {
-			if !e.Replica {
-				count++
-			}
-		}
-		d.most = max(d.most, count)
-	}
-}
+func (d *directory) targets(service string) []*control.Entry { return d.gossip.Service(service) }
 
 // size is how many nodes stand beside targets, those out of reach included.
 func (d *directory) size() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refresh()
-	return max(d.most, 1)
-}
-
-func indexServices(entries []*control.Entry) map[string][]*control.Entry {
-	services := map[string][]*control.Entry{}
-	for _, e := range entries {
-		usable := e.State == control.State_STATE_ALIVE || e.State == control.State_STATE_SUSPECT
-		if usable && e.Service != "" {
-			services[e.Service] = append(services[e.Service], e)
-		}
-	}
-	return services
+	d.most = max(d.most, d.gossip.Beside(), 1)
+	return d.most
 }
 
 // Lease implements limiter.Voters.
