Stop: the wait for controllers is bounded, and names those that did not end

The wait for controllers at the end had no limit. It now ends after 100 ms, within the margin that is kept from the grace time, and the `stop` line names controllers that have not ended. TestStopWaitsForControllerForEver: a controller that waits for a disk; without the limit the test does not end.

That this was the cause is not shown; if it comes again, the line or its absence tells.

--- /dev/null
+++ b/pkg/server/group_test.go
@@ -0,0 +1,40 @@
+package server
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// stuck is a controller that waits for a disk, whatever it is told.
+type stuck struct{ free chan struct{} }
+
+// Run implements Controller.
+func (s *stuck) Run(context.Context) { <-s.free }
+
+// obedient ends when it is told.
+type obedient struct{}
+
+// Run implements Controller.
+func (obedient) Run(ctx context.Context) { <-ctx.Done() }
+
+// TestStopWaitsForControllerForEver stops a node with one controller that does
+// not end.
+func TestStopWaitsForControllerForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup()
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &stuck{free: make(chan struct{})}
+		g.start(ctx, s)
+		g.start(ctx, obedient{})
+		cancel()
+		began := time.Now()
+		qt.Check(t, g.wait(time.After(controllersMost)), qt.DeepEquals, []string{"server.stuck"})
+		qt.Check(t, time.Since(began), qt.Equals, controllersMost)
+		close(s.free)
+		qt.Check(t, g.wait(time.After(controllersMost)), qt.HasLen, 0)
+	})
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +48,9 @@
 	stopMost = 10 * time.Minute
 	// graceMargin is kept from the grace time for the end of the process.
 	graceMargin = 400 * time.Millisecond
+	// controllersMost bounds the wait for controllers at a stop, within
+	// graceMargin: none of them has anything to lose that a kill would not.
+	controllersMost = 100 * time.Millisecond
 	// readyMoves is how long callers take to move away from a node whose
 	// readiness check fails: two checks, a second apart, and their spread.
 	readyMoves = 3 * time.Second
@@ -360,7 +362,7 @@
 	}
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	group := &group{}
+	group := newGroup()
 	for _, c := range s.controllers() {
 		group.start(inner, c)
 	}
@@ -370,8 +372,8 @@
 	<-ctx.Done()
 	s.stop(listeners)
 	cancel()
-	group.Wait()
-	s.log.Info("stop", "instance", s.settings.Instance, "took", s.clock.Now().Sub(s.stopping))
+	unfinished := group.wait(s.clock.After(controllersMost))
+	s.log.Info("stop", "instance", s.settings.Instance, "took", s.clock.Now().Sub(s.stopping), "unfinished", unfinished)
 	return nil
 }
 
@@ -416,22 +418,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-// group waits for controllers.
-type group struct{ sync.WaitGroup }
-
-type member struct {
-	group      *group
-	controller Controller
-}
-
-func (g *group) start(ctx context.Context, c Controller) {
-	g.Add(1)
-	m := &member{group: g, controller: c}
-	go m.run(ctx)
-}
-
-func (m *member) run(ctx context.Context) {
-	defer m.group.Done()
-	m.controller.Run(ctx)
-}
