Limits: requests wait for the deputies of a silent holder

The node refused at once all the same. What it may admit alone is the page's slack over the number of nodes: 20 in 5 s is something at 16 nodes and nothing at 199, so that the fault grows with the fleet.

Change: where a witness has said when tokens are handed out again, requests wait for that, 567 ms at most for a team, and are asked for again then; they leave when their callers do. Without such word they are refused after one ask, as before. What is admitted does not change, so neither do windows of limits.

TestCallersAreHeldInVain: without deputies nobody waits for more than two timeouts.

--- a/pkg/limiter/ask.go
+++ b/pkg/limiter/ask.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -15,8 +16,20 @@
 	cache   *tokenCache
 	// wanted is how many tokens the last request asked for.
 	wanted uint32
+	// announced tells that a witness said when tokens will be handed out again.
+	announced bool
 }
 
+// absentError says that nobody who was reached holds the team's bucket.
+type absentError struct {
+	wait time.Duration
+	// announced tells that a witness said how long to wait.
+	announced bool
+}
+
+// Error implements error.
+func (e *absentError) Error() string { return fmt.Sprintf("no holder was reached, wait %v", e.wait) }
+
 func (a *ask) run(ctx context.Context) {
 	s := a.spender
 	reply, err := a.from(ctx, "")
@@ -25,12 +38,12 @@
 		return
 	}
 	wait, unreachable := term, err != nil
-	var absent *RateError
+	var absent *absentError
 	switch {
 	case err == nil:
 		wait = time.Duration(reply.Wait) * time.Millisecond
 	case errors.As(err, &absent):
-		wait = absent.Wait
+		wait, a.announced = absent.wait, absent.announced
 	}
 	for _, centre := range s.holders.Others(a.team) {
 		loan, err := a.from(ctx, centre)
@@ -60,11 +73,10 @@
 		return nil, err
 	}
 	if reply.Absent {
-		wait := term
 		if reply.Wait > 0 {
-			wait = time.Duration(reply.Wait) * time.Millisecond
+			return nil, &absentError{wait: time.Duration(reply.Wait) * time.Millisecond, announced: true}
 		}
-		return nil, &RateError{Team: a.team, Wait: wait, Unreachable: true}
+		return nil, &absentError{wait: term}
 	}
 	if reply.Count > 0 {
 		s.mu.Lock()
@@ -107,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := a.cache
-	p.asking, p.missed = false, false
+	p.asking, p.missed, p.heldSince = false, false, time.Time{}
 	now := s.clock.Now()
 	for len(p.waiting) > 0 && p.take(now) {
 		p.waiting[0] <- nil
@@ -122,9 +134,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := a.cache
-	p.asking, p.missed = false, unreachable
+	p.missed, p.wait = unreachable, wait
 	now := s.clock.Now()
-	p.wait = wait
+	if a.announced && s.hold(a, now) {
+		return
+	}
+	p.asking, p.heldSince = false, time.Time{}
 	pause := refusedFor
 	if unreachable {
 		pause = missedFor
--- /dev/null
+++ b/pkg/limiter/holding_test.go
@@ -0,0 +1,128 @@
+package limiter
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// silentHolder is a network in which the holder of all teams falls silent.
+// Deputies follow after standbyDelay, if there are any.
+type silentHolder struct {
+	lost     time.Time
+	deputies bool
+	nodes    int
+}
+
+// silentTimeout is what an ask loses by trying the silent holder first.
+const silentTimeout = 80 * time.Millisecond
+
+// Ask implements Holders.
+func (h *silentHolder) Ask(_ context.Context, _ string, r *control.TokensRequest) (*control.TokensReply, error) {
+	now := time.Now()
+	granted := &control.TokensReply{Count: r.Count, Term: 250, Batch: 1}
+	if h.lost.IsZero() || now.Before(h.lost) {
+		return granted, nil
+	}
+	opens := h.lost.Add(standbyDelay)
+	if h.deputies && !now.Before(opens) {
+		return granted, nil
+	}
+	time.Sleep(silentTimeout)
+	if !h.deputies {
+		return &control.TokensReply{Absent: true}, nil
+	}
+	return &control.TokensReply{Absent: true, Wait: uint32(max(0, time.Until(opens)).Milliseconds()) + 1}, nil
+}
+
+// Others implements Holders.
+func (h *silentHolder) Others(string) []string { return nil }
+
+// Reserve implements Limits: the page's tolerance of 20 requests in 5 s.
+func (h *silentHolder) Reserve(string) Reserve {
+	return NewReserve(Part{Rate: 20, Burst: 20}, 5*time.Second, 0.1, 20, h.nodes)
+}
+
+// outcome of one request of the replay.
+type outcome struct {
+	err  error
+	took time.Duration
+}
+
+// callers send requests of one team to one node at a steady rate.
+type callers struct {
+	spender *Spender
+	team    string
+	mu      *sync.Mutex
+	out     *[]outcome
+	group   *sync.WaitGroup
+}
+
+func (c *callers) run() {
+	defer c.group.Done()
+	began := time.Now()
+	err := c.spender.Spend(context.Background(), c.team)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*c.out = append(*c.out, outcome{err, time.Since(began)})
+}
+
+// replaySilence sends requests of ten teams over all nodes for 1.5 s, from just
+// before the holder falls silent.
+func replaySilence(nodes int, deputies bool) []outcome {
+	h := &silentHolder{deputies: deputies, nodes: nodes}
+	var spenders []*Spender
+	for i := range nodes {
+		spenders = append(spenders, NewSpender(timekeeper.System{}, h, ByHeat{}, fmt.Sprint("node", i), "", func() uint64 { return 1 }, h))
+	}
+	h.lost = time.Now().Add(100 * time.Millisecond)
+	var mu sync.Mutex
+	var out []outcome
+	group := &sync.WaitGroup{}
+	for i := range 400 {
+		group.Add(1)
+		c := &callers{spender: spenders[i*7%nodes], team: fmt.Sprint("team", i%10), mu: &mu, out: &out, group: group}
+		go c.run()
+		time.Sleep(1500 * time.Millisecond / 400)
+	}
+	group.Wait()
+	return out
+}
+
+// TestSilentHolderRefusesCallers loses the holder of all limits. No caller is
+// over its limit, so none is refused, and none waits for longer than it takes
+// until a deputy follows and is asked.
+func TestSilentHolderRefusesCallers(t *testing.T) {
+	for _, nodes := range []int{16, 199, 1000} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				refused := 0
+				for _, o := range replaySilence(nodes, true) {
+					if o.err != nil {
+						refused++
+					}
+					qt.Check(t, o.took <= standbyDelay+2*silentTimeout, qt.IsTrue, qt.Commentf("%v", o.took))
+				}
+				qt.Check(t, refused, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// TestCallersAreHeldInVain loses the holder and has nobody to follow: what can
+// not be admitted is refused after one ask.
+func TestCallersAreHeldInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, o := range replaySilence(199, false) {
+			qt.Check(t, o.took <= 2*silentTimeout, qt.IsTrue, qt.Commentf("%v", o.took))
+		}
+	})
+}
