--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -22,9 +22,9 @@
 
 // Identify implements control.Replica.
 func (s *replicaService) Identify(context.Context, *control.IdentifyRequest) (*control.IdentifyReply, error) {
-	reply := s.acceptor.Identify()
-	reply.Records = s.store.Epoch()
-	return reply, nil
+	// Who asks this way wants to know who is there, not what it has accepted.
+	at := s.acceptor.Identify()
+	return &control.IdentifyReply{Identity: at.Identity, Instance: at.Instance, Epoch: at.Epoch, Records: s.store.Epoch()}, nil
 }
 
 // Prepare implements control.Replica.
