Register: replicas leave out a value that the proposer knows

Each read, change and look of the healer got the whole value, 20 kB and more, from each member.

Change: a proposer remembers the last value with the epoch and ballot at which it was accepted, which no other value can have, and says so; a replica that has accepted at just that ballot leaves the value out.

--- a/pkg/replicator/acceptor.go
+++ b/pkg/replicator/acceptor.go
@@ -70,6 +70,9 @@
 		return nil, err
 	}
 	reply := &control.PrepareReply{Epoch: a.state.Epoch, Highest: a.state.Promised, Accepted: a.state.Accepted, Value: a.state.Value}
+	if r.Informed && r.Epoch == a.state.Epoch && compareBallots(r.Known, a.state.Accepted) == 0 {
+		reply.Value, reply.Omitted = nil, true
+	}
 	if r.Epoch != a.state.Epoch || compareBallots(r.Ballot, a.state.Promised) <= 0 {
 		return reply, nil
 	}
--- a/pkg/replicator/model_test.go
+++ b/pkg/replicator/model_test.go
@@ -130,6 +130,8 @@
 	last    error
 	changes int
 	spares  int
+	// lasting are proposers by the number that draws them.
+	lasting map[int]*lasting
 }
 
 func (w *world) send(ctx context.Context, proposer, phase string, size int, address string, deliver func(*replicator.Acceptor) (any, error)) (any, error) {
@@ -411,14 +413,14 @@
 }
 
 func (w *world) run(id string, base *control.Value, update replicator.Update) bool {
-	n := &network{world: w, name: id, size: len(base.Replicas)}
-	clock := &skipClock{}
-	// Names decide between equal counts, so they must not follow the order.
-	p := replicator.NewProposer(n, clock, fmt.Sprint(w.tape.next(8), id), rand.New(rand.NewPCG(1, 2)), w.hear)
+	s := w.proposer(id)
+	s.busy = true
+	defer func() { s.busy = false }()
+	s.network.name, s.network.size = id, len(base.Replicas)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	clock.left, clock.give = 20, cancel
-	_, err := p.Run(ctx, base, update)
+	s.clock.left, s.clock.give = 20, cancel
+	_, err := s.proposer.Run(ctx, base, update)
 	w.last = err
 	var repeat *planner.RepeatError
 	if err == nil || errors.As(err, &repeat) {
@@ -428,6 +430,33 @@
 	return false
 }
 
+// lasting is a proposer that makes several changes, and so has a value from
+// earlier ones.
+type lasting struct {
+	proposer *replicator.Proposer
+	network  *network
+	clock    *skipClock
+	busy     bool
+}
+
+// lastingProposers is how many proposers make more than one change.
+const lastingProposers = 3
+
+// proposer draws one that has run before, or makes another one.
+func (w *world) proposer(id string) *lasting {
+	// Names decide between equal counts, so they must not follow the order.
+	drawn := w.tape.next(8)
+	if s, ok := w.lasting[drawn]; ok && !s.busy {
+		return s
+	}
+	s := &lasting{network: &network{world: w}, clock: &skipClock{}}
+	s.proposer = replicator.NewProposer(s.network, s.clock, fmt.Sprint(drawn, id), rand.New(rand.NewPCG(1, 2)), w.hear)
+	if drawn < lastingProposers {
+		w.lasting[drawn] = s
+	}
+	return s
+}
+
 // skipClock does not wait, and gives up after so many pauses.
 type skipClock struct {
 	timekeeper.Manual
@@ -459,7 +488,7 @@
 func newWorld(t *rapid.T, size int) *world {
 	w := &world{
 		t: t, tape: rapid.SliceOfN(rapid.Byte(), 200, 800).Draw(t, "tape"), sites: map[string]*site{},
-		batches: map[string]*batch{}, dead: map[string]bool{}, chosen: map[uint64]string{},
+		batches: map[string]*batch{}, lasting: map[int]*lasting{}, dead: map[string]bool{}, chosen: map[uint64]string{},
 		budget: rapid.IntRange(1, 25).Draw(t, "faults"),
 	}
 	w.events = focuses[w.tape.next(len(focuses))]
--- a/pkg/replicator/proposer.go
+++ b/pkg/replicator/proposer.go
@@ -62,6 +62,27 @@
 
 	mu    sync.Mutex
 	count uint64
+	known acceptance
+}
+
+// acceptance is a value with the epoch and ballot at which it was accepted, which
+// it alone can have been. Replicas leave out a value that the proposer knows.
+type acceptance struct {
+	epoch  uint64
+	ballot *control.Ballot
+	value  *control.Value
+}
+
+func (p *Proposer) recall() acceptance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known
+}
+
+func (p *Proposer) remember(a acceptance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known = a
 }
 
 // NewProposer makes a proposer; name must differ from that of any other
@@ -170,8 +191,14 @@
 // prepare returns the value of the highest accepted ballot of a majority, and
 // whether all of that majority hold it, which means that it is chosen.
 func (p *Proposer) prepare(ctx context.Context, at view, ballot *control.Ballot) (*control.Value, bool, error) {
+	known := p.recall()
+	informed := known.value != nil && known.epoch == at.epoch
 	replies := gather(ctx, at.members, func(ctx context.Context, m *control.Member) (*control.PrepareReply, error) {
-		return p.network.Prepare(ctx, m.Address, &control.PrepareRequest{Replica: m.Identity, Epoch: at.epoch, Ballot: ballot})
+		r := &control.PrepareRequest{Replica: m.Identity, Epoch: at.epoch, Ballot: ballot}
+		if informed {
+			r.Informed, r.Known = true, known.ballot
+		}
+		return p.network.Prepare(ctx, m.Address, r)
 	})
 	var best *control.PrepareReply
 	var lastErr error
@@ -182,6 +209,9 @@
 			lastErr = r.err
 			continue
 		}
+		if r.reply.Omitted {
+			r.reply.Value = known.value
+		}
 		if r.reply.Epoch > at.epoch && r.reply.Value != nil {
 			p.bring(ctx, r.reply)
 			return nil, false, &errMoved{to: viewOf(r.reply.Epoch, r.reply.Value)}
@@ -200,6 +230,7 @@
 			same++
 		}
 		if promised == at.majority() {
+			p.remember(acceptance{epoch: at.epoch, ballot: best.Accepted, value: best.Value})
 			return best.Value, same == promised, nil
 		}
 	}
@@ -233,6 +264,7 @@
 			lastErr = fmt.Errorf("replica is in epoch %d", r.reply.Epoch)
 		}
 		if accepted == at.majority() {
+			p.remember(acceptance{epoch: at.epoch, ballot: ballot, value: value})
 			return nil
 		}
 	}
