Limits: candidates for a lease no longer split the votes after a power loss

Cause: each candidate first took its own witness's vote. Witnesses open one after the other, so every candidate had one vote, blocked the others with it, and paused until it had run out.

Tried first: no pause where no rival was seen.

Change: a candidate asks its witness whether it would vote, without taking the vote, and tries when that has been so for as many rounds as it stands behind the preferred one. With that, no pause where no rival was seen.

The models of windows (TestNeverOver, TestDeputiesAreNeverOver) pass unchanged.

--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -56,6 +56,8 @@
 	mu      sync.Mutex
 	leases  map[int]time.Time
 	retries map[int]time.Time
+	// free is since when the own witness would vote for this instance.
+	free map[int]time.Time
 	// versions is what the witnesses know as this holder's version: whoever
 	// holds the lease later has at least that one.
 	versions map[int]uint64
@@ -83,7 +85,7 @@
 		clock: clock, config: config, voters: voters, instance: instance, centre: centre, session: session, log: log,
 		// Batches of a former life must not be taken for those of this one.
 		nextID: session << batchBits,
-		leases: map[int]time.Time{}, retries: map[int]time.Time{}, opens: map[int]time.Time{}, confirmed: map[int]bool{}, deputies: map[int]map[string]*contact{}, deputy: newDeputy(clock, config, voters, instance, centre, session, log), versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
+		leases: map[int]time.Time{}, retries: map[int]time.Time{}, free: map[int]time.Time{}, opens: map[int]time.Time{}, confirmed: map[int]bool{}, deputies: map[int]map[string]*contact{}, deputy: newDeputy(clock, config, voters, instance, centre, session, log), versions: map[int]uint64{}, buckets: map[string]*bucket{}, reached: map[string]uint64{},
 	}
 }
 
@@ -139,10 +141,39 @@
 	n.holder.renewShard(ctx, n.shard, n.witnesses, n.config, n.rank)
 }
 
+// candidateGap is by how much longer than the one before it a candidate for a
+// lease waits: a round of votes, so that candidates do not split them.
+const candidateGap = renewPeriod / 2
+
+// mayTry tells whether it is this instance's turn to try for a lease. The
+// preferred witness may at once, the others when their own vote has been free
+// for longer by their distance from it.
+func (h *Holder) mayTry(ctx context.Context, shard, distance int, request *control.LeaseRequest) bool {
+	if distance == 0 {
+		return true
+	}
+	reply, err := h.voters.Lease(ctx, h.instance, &control.LeaseRequest{
+		Name: request.Name, Instance: request.Instance, Version: request.Version, Session: request.Session, Peek: true,
+	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil || !reply.Granted {
+		delete(h.free, shard)
+		return false
+	}
+	now := h.clock.Now()
+	since, ok := h.free[shard]
+	if !ok {
+		since = now
+		h.free[shard] = now
+	}
+	return now.Sub(since) >= time.Duration(distance)*candidateGap
+}
+
 // renewShard tries for a lease. A witness that is not preferred tries only
-// when its own vote is free, and one that failed pauses until its votes have
-// run out, each rank for a different time, so that rivals do not block each
-// other.
+// when its own vote is free, and one that failed because of a rival pauses until
+// its votes have run out, each rank for a different time, so that rivals do not
+// block each other.
 func (h *Holder) renewShard(ctx context.Context, shard int, witnesses []string, c *enforcer.Config, rank int) {
 	version := c.Version()
 	sent := h.clock.Now()
@@ -152,13 +183,12 @@
 		if sent.Before(h.retryAt(shard)) {
 			return
 		}
-		reply, err := h.voters.Lease(ctx, h.instance, request)
-		if shard%len(witnesses) != rank && (err != nil || !reply.Granted) {
+		if !h.mayTry(ctx, shard, (rank-shard%len(witnesses)+len(witnesses))%len(witnesses), request) {
 			return
 		}
 	}
 	denials := h.denied()
-	votes, former := h.countVotes(ctx, witnesses, request)
+	votes, former, rival := h.countVotes(ctx, witnesses, request)
 	if votes > len(witnesses)/2 && h.denied() == denials {
 		switch {
 		case h.hold(shard, sent, version, former) && c.Domain(h.centre) == "":
@@ -171,6 +201,11 @@
 	if request.Open {
 		h.log.Warn("hold_doubted", "shard", shard, "votes", votes, "witnesses", len(witnesses))
 	}
+	if !rival {
+		// Witnesses that abstain yet, or were not reached, may vote at the next
+		// try; the votes that were given are for this holder.
+		return
+	}
 	h.mu.Lock()
 	h.retries[shard] = h.clock.Now().Add(leaseTerm + time.Duration(rank)*renewPeriod)
 	h.mu.Unlock()
@@ -200,8 +235,9 @@
 
 // countVotes counts until there is a majority. former is the instance that all
 // of these know as the last one that opened buckets, if they agree: no other can
-// have done so since, as it would have told a majority before.
-func (h *Holder) countVotes(ctx context.Context, witnesses []string, request *control.LeaseRequest) (count int, former string) {
+// have done so since, as it would have told a majority before. rival tells that a
+// vote was refused in favour of another instance.
+func (h *Holder) countVotes(ctx context.Context, witnesses []string, request *control.LeaseRequest) (count int, former string, rival bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	replies := make(chan *control.LeaseReply, len(witnesses))
@@ -212,6 +248,7 @@
 	for range witnesses {
 		reply := <-replies
 		if !reply.Granted {
+			rival = rival || reply.Holder != "" && reply.Holder != h.instance
 			continue
 		}
 		if count++; count == 1 {
@@ -224,7 +261,7 @@
 			break
 		}
 	}
-	return count, former
+	return count, former, rival
 }
 
 // Holding tells whether this instance holds a lease, and gives up those that
@@ -298,7 +335,7 @@
 // open lets the buckets of a shard fill at once, when no node has tokens of a
 // former holder any more.
 func (h *Holder) open(ctx context.Context, shard int, witnesses []string, r *control.LeaseRequest) {
-	if votes, _ := h.countVotes(ctx, witnesses, &control.LeaseRequest{Name: r.Name, Instance: r.Instance, Version: r.Version, Session: r.Session, Open: true}); votes > len(witnesses)/2 {
+	if votes, _, _ := h.countVotes(ctx, witnesses, &control.LeaseRequest{Name: r.Name, Instance: r.Instance, Version: r.Version, Session: r.Session, Open: true}); votes > len(witnesses)/2 {
 		h.confirm(shard)
 	}
 	if !h.voters.Forget(ctx, shard) {
--- /dev/null
+++ b/pkg/limiter/power_test.go
@@ -0,0 +1,59 @@
+package limiter
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// powerStep is the pace of TestHolderAfterPowerLoss.
+const powerStep = 50 * time.Millisecond
+
+// renewApart passes time in which each witness renews in a phase of its own.
+func (f *wholeFleet) renewApart(steps int, phases []int) {
+	for range steps {
+		f.clock.Advance(powerStep)
+		tick := int(f.clock.Now().UnixNano() / int64(powerStep))
+		for i, w := range f.witnesses {
+			if (tick+phases[i])%int(renewPeriod/powerStep) == 0 {
+				w.holder.Renew(context.Background())
+				synctest.Wait()
+			}
+		}
+	}
+}
+
+// TestHolderAfterPowerLoss starts all witnesses anew, as after a loss of power.
+// They find out one after the other that nobody holds a lease, and vote from then
+// on. Once the last one does, it takes two renewals until all shards have a
+// holder.
+func TestHolderAfterPowerLoss(t *testing.T) {
+	for _, witnesses := range []int{3, 5, 7} {
+		t.Run(fmt.Sprint(witnesses), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for seed := range uint64(30) {
+					f := newWholeFleet(seed, Part{Rate: 30, Burst: 30}, witnesses, 0)
+					phases := make([]int, witnesses)
+					for i, w := range f.witnesses {
+						w.start()
+						phases[i] = f.random.IntN(int(renewPeriod / powerStep))
+					}
+					for _, at := range f.random.Perm(witnesses) {
+						f.renewApart(1+f.random.IntN(3), phases)
+						f.witnesses[at].witness.Open()
+					}
+					f.renewApart(int(2*renewPeriod/powerStep), phases)
+					for shard := range shardCount {
+						held := slices.ContainsFunc(f.witnesses, func(w *wholeWitness) bool { return w.holder.holdsShard(shard) })
+						qt.Check(t, held, qt.IsTrue, qt.Commentf("seed %d shard %d", seed, shard))
+					}
+				}
+			})
+		})
+	}
+}
--- a/pkg/limiter/witness.go
+++ b/pkg/limiter/witness.go
@@ -62,7 +62,7 @@
 	return w.clock.Now().Before(w.opens)
 }
 
-// Vote grants a lease unless another holder has it, or the asker has an older
+// Vote grants a lease, or tells that it would, unless another holder has it, or the asker has an older
 // configuration than a former holder had.
 func (w *Witness) Vote(r *control.LeaseRequest) *control.LeaseReply {
 	w.mu.Lock()
@@ -80,6 +80,9 @@
 	if held || r.Version < v.version {
 		return &control.LeaseReply{Holder: v.holder}
 	}
+	if r.Peek {
+		return &control.LeaseReply{Granted: true}
+	}
 	v.holder, v.session, v.version = r.Instance, r.Session, r.Version
 	v.expiry = now.Add(leaseTerm)
 	reply := &control.LeaseReply{Granted: true, Holder: r.Instance, Former: v.opened}
