Limits: a new holder asks nodes that have not answered again

A new holder keeps its buckets closed for 1.05 s, unless all nodes have dropped what a former one handed out. They were asked once; after a loss of power some are still starting then. They are asked again with each renewal until the time is over. TestNewHolderAsksStartingNodesAgain: open at the next renewal; 1.05 s before.

--- a/pkg/limiter/deputy_test.go
+++ b/pkg/limiter/deputy_test.go
@@ -39,6 +39,8 @@
 	// tells that it opens its buckets.
 	deaf    bool
 	unheard map[hearing]bool
+	// starting nodes do not answer a holder yet.
+	starting bool
 	// deputized are tokens handed out by deputies.
 	deputized int
 }
@@ -134,6 +136,9 @@
 
 // Forget implements Voters.
 func (w *wholeWitness) Forget(context.Context, int) bool {
+	if w.fleet.starting {
+		return false
+	}
 	for _, n := range w.fleet.nodes {
 		n.batches, n.reports = nil, nil
 	}
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -195,6 +195,7 @@
 			h.open(ctx, shard, witnesses, request)
 		case request.Open:
 			h.confirm(shard)
+			h.forget(ctx, shard)
 		}
 		return
 	}
@@ -338,16 +339,30 @@
 	if votes, _, _ := h.countVotes(ctx, witnesses, &control.LeaseRequest{Name: r.Name, Instance: r.Instance, Version: r.Version, Session: r.Session, Open: true}); votes > len(witnesses)/2 {
 		h.confirm(shard)
 	}
-	if !h.voters.Forget(ctx, shard) {
+	h.forget(ctx, shard)
+}
+
+// forget opens the buckets of a shard that are still closed if all nodes drop the
+// tokens of a former holder. Nodes that do not answer yet, as after a start of
+// all, are asked again with the next renewal.
+func (h *Holder) forget(ctx context.Context, shard int) {
+	if !h.isClosed(shard) || !h.voters.Forget(ctx, shard) {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if now := h.clock.Now(); now.Before(h.opens[shard]) {
 		h.opens[shard] = now
+		h.log.Info("hold_open", "shard", shard)
 	}
 }
 
+func (h *Holder) isClosed(shard int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock.Now().Before(h.opens[shard])
+}
+
 // confirm notes that a majority of the witnesses knows that this instance opens
 // its buckets.
 func (h *Holder) confirm(shard int) {
--- a/pkg/limiter/power_test.go
+++ b/pkg/limiter/power_test.go
@@ -57,3 +57,29 @@
 		})
 	}
 }
+
+// TestNewHolderAsksStartingNodesAgain gets a lease while nodes are still
+// starting. Once they answer, the next renewal opens the buckets.
+func TestNewHolderAsksStartingNodesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWholeFleet(1, Part{Rate: 30, Burst: 30}, 3, 0)
+		f.starting = true
+		for _, w := range f.witnesses {
+			w.start()
+			w.witness.Open()
+		}
+		var holder *Holder
+		for holder == nil {
+			f.advance(powerStep)
+			for _, w := range f.witnesses {
+				if w.holder.holdsShard(0) {
+					holder = w.holder
+				}
+			}
+		}
+		qt.Assert(t, holder.isClosed(0), qt.IsTrue)
+		f.starting = false
+		f.advance(renewPeriod)
+		qt.Assert(t, holder.isClosed(0), qt.IsFalse)
+	})
+}
