--- a/pkg/server/fetcher_test.go
+++ b/pkg/server/fetcher_test.go
@@ -15,15 +15,17 @@
 
 // library gives a value to all who fetch it, after a while, and counts.
 type library struct {
-	mu     sync.Mutex
-	value  *control.Value
-	bodies int
+	mu    sync.Mutex
+	value *control.Value
+	// asked and bodies count fetches and those that brought something.
+	asked, bodies int
 }
 
 func (l *library) fetch(_ context.Context, _ string, r *control.FetchRequest) (*control.Value, error) {
 	time.Sleep(10 * time.Millisecond)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.asked++
 	if l.value.Version <= r.Above {
 		return &control.Value{}, nil
 	}
@@ -47,6 +49,7 @@
 		}
 		time.Sleep(time.Second)
 		qt.Check(t, config.Current().Version(), qt.Equals, uint64(2))
+		qt.Check(t, l.asked, qt.Equals, 1)
 		qt.Check(t, l.bodies, qt.Equals, 1)
 		cancel()
 		synctest.Wait()
