--- a/pkg/limiter/ask.go
+++ b/pkg/limiter/ask.go
@@ -119,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := a.cache
-	p.asking, p.missed, p.heldSince = false, false, time.Time{}
+	p.asking, p.missed, p.postponedSince = false, false, time.Time{}
 	now := s.clock.Now()
 	for len(p.waiting) > 0 && p.take(now) {
 		p.waiting[0] <- nil
@@ -136,10 +136,10 @@
 	p := a.cache
 	p.missed, p.wait = unreachable, wait
 	now := s.clock.Now()
-	if a.announced && s.hold(a, now) {
+	if a.announced && s.postpone(a, now) {
 		return
 	}
-	p.asking, p.heldSince = false, time.Time{}
+	p.asking, p.postponedSince = false, time.Time{}
 	pause := refusedFor
 	if unreachable {
 		pause = missedFor
--- a/pkg/limiter/holding_test.go
+++ b/pkg/limiter/postpone_test.go
@@ -117,9 +117,9 @@
 	}
 }
 
-// TestCallersAreHeldInVain loses the holder and has nobody to follow: what can
+// TestCallersWaitInVain loses the holder and has nobody to follow: what can
 // not be admitted is refused after one ask.
-func TestCallersAreHeldInVain(t *testing.T) {
+func TestCallersWaitInVain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, o := range replaySilence(199, false) {
 			qt.Check(t, o.took <= 2*silentTimeout, qt.IsTrue, qt.Commentf("%v", o.took))
--- a/pkg/limiter/token_cache.go
+++ b/pkg/limiter/token_cache.go
@@ -34,7 +34,7 @@
 	reserved reserve
 	// missed tells that the last ask reached no holder.
 	missed bool
-	// heldSince is when requests began to wait for a holder or a deputy that has
+	// postponedSince is when requests began to wait for a holder or a deputy that has
 	// said when it hands out tokens; zero when none does.
-	heldSince time.Time
+	postponedSince time.Time
 }
