Revert "Register: a member in each data centre, up to seven"

Tried for data centres that are cut off.

Cause: for each deputy out of reach a bucket keeps a token and more of the burst, whatever the rate, as a deputy must be able to hand out one. Small teams have bursts of a few tokens, so that with six deputies nothing is left. The set stays at 2 f + 1. Deputies that are no members of the set, one in each data centre, would need parts of their own; not tried.

TestDeputiesAreNeverOver keeps drawing 3 to 7 witnesses.

--- a/pkg/healer/healer.go
+++ b/pkg/healer/healer.go
@@ -13,9 +13,6 @@
 	// fleet that starts finds its disks one after the other, and the first ones
 	// may all be in one data centre.
 	GrowAfter = time.Second
-	// mostReplicas bounds a set that grows for the sake of data centres: each
-	// replica takes part in every change.
-	mostReplicas = 7
 )
 
 // Replica is one disk as this node sees it.
@@ -53,8 +50,7 @@
 	ReasonDisk = "disk"
 	// ReasonSilent says that the member is out of reach and a spare is not.
 	ReasonSilent = "silent"
-	// ReasonGrow says that the set is too small for the losses it has to bear, or
-	// has no member in some data centre.
+	// ReasonGrow says that the set is too small for the losses it has to bear.
 	ReasonGrow = "grow"
 )
 
@@ -65,17 +61,6 @@
 // Bears is how many disks of a set may be lost at once.
 func Bears(replicas int) int { return max(0, replicas-1) / 2 }
 
-// wanted is how large a set should be: it bears the losses asked and, up to
-// mostReplicas, has a member in each data centre, which hands out limits there
-// when that data centre is cut off.
-func wanted(seen []Replica, tolerance int) int {
-	centres := map[string]bool{}
-	for _, r := range seen {
-		centres[r.Centre] = true
-	}
-	return max(Size(tolerance), min(len(centres)|1, mostReplicas))
-}
-
 // Decide picks the next replacement, or none. Members are the set in force;
 // seen are the disks that nodes have announced, members included; tolerance is
 // how many disks may be lost at once.
@@ -93,7 +78,7 @@
 		}
 	}
 	// A set of even size bears no more than one of a replica less.
-	if missing := wanted(seen, tolerance) - len(members); missing > 0 {
+	if missing := Size(tolerance) - len(members); missing > 0 {
 		joining := pickSpares(members, seen, at, missing)
 		if (len(members)+len(joining))%2 == 0 {
 			joining = joining[:max(0, len(joining)-1)]
