Limits: a holder without tokens sends nodes on to deputies out of its reach

Cause: the holder counts the parts of deputies that it can't reach as used. A node that reaches the holder asked nobody else, so that those parts, half of the rate when half of the witnesses are cut off, were left unused.

Change: a holder that has none left says that a part of the rate is with such deputies; the node goes on to the next witness, in its own data centre first. What is admitted stays within what the holder counts, as the models show.

--- a/pkg/limiter/ask.go
+++ b/pkg/limiter/ask.go
@@ -93,6 +93,13 @@
 	return reply, nil
 }
 
+// IsFinal tells whether the answer of a possible holder settles a request for
+// tokens. A holder that has none left does not while deputies, which it can't
+// reach but the asker may, have a part of the rate.
+func IsFinal(reply *control.TokensReply) bool {
+	return !reply.Absent && (reply.Count > 0 || !reply.Elsewhere)
+}
+
 // takeReports says what became of the batches of a data centre, and closes
 // those that the team no longer needs.
 func (p *tokenCache) takeReports(centre string, now time.Time) []*control.Spent {
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -111,6 +111,16 @@
 	return math.Max(0, room)
 }
 
+// isSplit tells whether a deputy may be handing out a part of the rate now.
+func (b *bucket) isSplit(now time.Time) bool {
+	for _, k := range b.deputies {
+		if k.spending(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *bucket) nextExpiry() (uint64, *batch) {
 	var first uint64
 	for id, batch := range b.batches {
--- a/pkg/limiter/deputy_test.go
+++ b/pkg/limiter/deputy_test.go
@@ -356,7 +356,7 @@
 func testDeputiesAreNeverOver(t *testing.T) {
 	served, deputized := 0, 0
 	for seed := range uint64(120) {
-		f := newWholeFleet(seed, Part{Rate: 30, Burst: 30}, 3+int(seed%3), 4)
+		f := newWholeFleet(seed, Part{Rate: 30, Burst: 30}, 3+int(seed%5), 4)
 		f.lossy = true
 		for range 250 {
 			f.play()
@@ -375,16 +375,20 @@
 
 // Ask implements Holders.
 func (h *fleetHolders) Ask(_ context.Context, _ string, r *control.TokensRequest) (*control.TokensReply, error) {
-	absent := &control.TokensReply{Absent: true}
+	last := &control.TokensReply{Absent: true}
 	for _, w := range h.fleet.witnesses {
 		if w.frozen {
 			continue
 		}
-		if reply := w.holder.Tokens(r); !reply.Absent {
+		reply := w.holder.Tokens(r)
+		if IsFinal(reply) {
 			return reply, nil
 		}
+		if !reply.Absent {
+			last = reply
+		}
 	}
-	return absent, nil
+	return last, nil
 }
 
 // Others implements Holders.
--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -493,6 +493,7 @@
 	}
 	if given == 0 {
 		reply.Wait = uint32(b.wait().Milliseconds())
+		reply.Elsewhere = r.Count > 0 && !r.Loan && b.isSplit(now)
 	}
 	return reply
 }
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -84,6 +84,7 @@
 	witnesses := c.Witnesses(centre)
 	shard := limiter.Shard(r.Team)
 	name := limiter.LeaseName(centre, shard)
+	var dry *control.TokensReply
 	absent := &control.TokensReply{Absent: true}
 	for _, instance := range d.order(name, shard, witnesses) {
 		e := d.gossip.Member(instance)
@@ -91,10 +92,13 @@
 			continue
 		}
 		reply, err := d.askOne(ctx, e.Address, r)
-		if err == nil && !reply.Absent {
+		if err == nil && limiter.IsFinal(reply) {
 			d.remember(name, instance)
 			return reply, nil
 		}
+		if err == nil && !reply.Absent {
+			dry = reply
+		}
 		if err == nil && reply.Wait > 0 {
 			absent = reply
 		}
@@ -102,6 +106,9 @@
 			d.doubt(name, instance)
 		}
 	}
+	if dry != nil {
+		return dry, nil
+	}
 	return absent, nil
 }
 
