Fetcher: a replica without a configuration fetches it from other replicas

Cause: a replica needs the whole value. Since updates flood the data centre it hears of a version from neighbours, which have none, and with no version of its own it knew no replica to ask; before, a random teller was one now and then.

Change: it also asks the nodes with data folders in its table. TestSpareHearsFromNeighboursOnly fails without that (version 0).

--- a/pkg/server/fetcher.go
+++ b/pkg/server/fetcher.go
@@ -18,6 +18,9 @@
 	offer  func(*control.Value)
 	// whole tells that this node is a replica.
 	whole bool
+	// replicas lists the addresses of nodes with data folders, which have the
+	// whole value; it may be nil.
+	replicas func() []string
 
 	wake chan news
 }
@@ -73,6 +76,11 @@
 		for _, m := range f.config.Current().Value().Replicas {
 			addresses = append(addresses, m.Address)
 		}
+		// A replica without a configuration may hear of it from neighbours only,
+		// which don't have the whole value.
+		if f.replicas != nil {
+			addresses = append(addresses, f.replicas()...)
+		}
 	}
 	for _, a := range addresses {
 		value, err := f.ask(ctx, a, &control.FetchRequest{Whole: f.whole, Above: f.config.Current().Version()})
--- a/pkg/server/fetcher_test.go
+++ b/pkg/server/fetcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -55,3 +56,27 @@
 		synctest.Wait()
 	})
 }
+
+// TestSpareHearsFromNeighboursOnly starts a replica that is no member of the set
+// beside nodes that have no whole value.
+func TestSpareHearsFromNeighboursOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config, err := enforcer.Open(nil, nil)
+		qt.Assert(t, err, qt.IsNil)
+		ask := func(_ context.Context, address string, _ *control.FetchRequest) (*control.Value, error) {
+			if address != "replica" {
+				return nil, errors.New("this instance does not have the whole value")
+			}
+			return &control.Value{Version: 2}, nil
+		}
+		f := newFetcher(ask, config, func(v *control.Value) { _, _ = config.Offer(v) }, true)
+		f.replicas = func() []string { return []string{"replica"} }
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		f.want(2, "neighbour")
+		time.Sleep(time.Second)
+		qt.Check(t, config.Current().Version(), qt.Equals, uint64(2))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/pkg/server/healing.go
+++ b/pkg/server/healing.go
@@ -127,3 +127,14 @@
 	}
 	return list
 }
+
+// otherReplicas lists the addresses of other nodes in reach with data folders.
+func (s *Server) otherReplicas() []string {
+	var list []string
+	for _, r := range s.gossip.Replicas() {
+		if r.Silent.IsZero() && r.Address != s.settings.Peer {
+			list = append(list, r.Address)
+		}
+	}
+	return list
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -194,6 +194,7 @@
 	s.carrier = &carrier{sealer: s.sealer, count: s.count, meter: s.traffic.message}
 	s.gossip = gossiper.New(self, s.seeds(), s.clock, s.carrier, s.source, newRandom())
 	s.carrier.receive = s.gossip.Receive
+	s.fetcher.replicas = s.otherReplicas
 	s.directory = &directory{gossip: s.gossip, config: s.config, caller: s.caller, centre: s.settings.Centre, clock: s.clock, holders: map[string]string{}, doubted: map[string]time.Time{}}
 	s.proposer = replicator.NewProposer(s.caller, s.clock, s.settings.Instance+"/"+life, newRandom(), s.offer)
 	s.witness = limiter.NewWitness(s.clock, s.source.Version)
