Fetcher: lines for news, fetches and saves of a version

Cause: nothing in the logs told a fetch that failed from news that never came, or a version that waits for the disk from one that waits for the network; a refusal did not say whether its node knew of a newer version.

No change of behaviour.

--- a/pkg/explainer/explainer.go
+++ b/pkg/explainer/explainer.go
@@ -18,7 +18,7 @@
 // beliefs are the events that change what a node believes, with the field that
 // says what about.
 var beliefs = map[string]string{
-	"inforce": "version", "target": "life", "target_gone": "", "drain": "", "start": "instance", "reload": "seeds",
+	"inforce": "version", "heard": "version", "target": "life", "target_gone": "", "drain": "", "start": "instance", "reload": "seeds",
 }
 
 // Line is one line of a log.
--- a/pkg/forwarder/decisions.go
+++ b/pkg/forwarder/decisions.go
@@ -9,10 +9,11 @@
 // logRefusal logs a request that was refused before it was placed.
 func (f *Forwarder) logRefusal(x *Exchange, r *Refusal) {
 	f.observe(x, string(r.Outcome), string(r.Reason), f.deps.Clock.Now())
+	heard, age := f.deps.Behind()
 	attrs := []any{
 		"id", x.hop.Id, "route", x.hop.Route, "team", x.hop.Team, "rank", x.hop.Rank,
 		"reason", r.Reason, "outcome", r.Outcome, "status", r.Status, "wait", r.Wait,
-		"version", x.config.Version(), "revision", x.config.Revision(), "text", r.Text,
+		"version", x.config.Version(), "revision", x.config.Revision(), "heard", heard, "behind", age, "text", r.Text,
 	}
 	f.deps.Log.Info("refuse", append(attrs, digestAttrs(x, r)...)...)
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -72,6 +72,9 @@
 	Ready func() bool
 	// InContact tells whether a replica was heard of within the bound.
 	InContact func() bool
+	// Behind returns the highest version that another node is known to have, and
+	// for how long that is known; 0 when none is newer than the one in force.
+	Behind func() (version uint64, age time.Duration)
 	// Suspect hears that a target's connection broke.
 	Suspect func(*Target)
 	// Succeeded hears of every request that a target has answered with success.
--- a/pkg/server/fetcher_test.go
+++ b/pkg/server/fetcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -41,7 +43,7 @@
 		config, err := enforcer.Open(nil, nil)
 		qt.Assert(t, err, qt.IsNil)
 		l := &library{value: &control.Value{Version: 2}}
-		f := newFetcher(l.fetch, config, func(v *control.Value) { _, _ = config.Offer(v) }, false)
+		f := newFetcher(l.fetch, config, func(v *control.Value) { _, _ = config.Offer(v) }, false, timekeeper.System{}, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
 		for range 10 {
@@ -69,7 +71,7 @@
 			}
 			return &control.Value{Version: 2}, nil
 		}
-		f := newFetcher(ask, config, func(v *control.Value) { _, _ = config.Offer(v) }, true)
+		f := newFetcher(ask, config, func(v *control.Value) { _, _ = config.Offer(v) }, true, timekeeper.System{}, slog.New(slog.DiscardHandler))
 		f.replicas = func() []string { return []string{"replica"} }
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.Run(ctx)
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -182,7 +182,7 @@
 func (s *Server) buildState() {
 	life := randomName()
 	s.caller = caller.New(s.sealer.Client(), s.traffic.message)
-	s.fetcher = newFetcher(s.caller.Fetch, s.config, s.offer, s.folder != nil)
+	s.fetcher = newFetcher(s.caller.Fetch, s.config, s.offer, s.folder != nil, s.clock, s.log)
 	s.source = &source{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, fail: s.fail}
 	self := &control.Entry{
 		Instance: s.settings.Instance, Centre: s.settings.Centre, Address: s.settings.Peer,
@@ -203,7 +203,7 @@
 	s.config.Subscribe(func(c *enforcer.Config) {
 		d := c.Declaration()
 		s.log.Info("inforce", "version", c.Version(), "revision", c.Revision(), "epoch", c.Value().Epoch,
-			"routes", len(d.Routes), "teams", len(d.Teams), "rate", d.TotalRate())
+			"routes", len(d.Routes), "teams", len(d.Teams), "rate", d.TotalRate(), "heard", s.fetcher.age(c.Version()))
 		s.gossip.TellVersion()
 	})
 }
@@ -247,7 +247,7 @@
 		Misdirected: func(t *forwarder.Target) { s.announcer.Misdirected(t) },
 		Targets:     s.directory.targets,
 		Target:      func() *forwarder.Target { return s.announcer.Target() },
-		Ready:       s.ready, InContact: s.inContact,
+		Ready:       s.ready, InContact: s.inContact, Behind: s.fetcher.behind,
 		Suspect: func(t *forwarder.Target) { s.announcer.Suspect(t) },
 		Sent:    s.traffic.request, Retries: s.retries, Succeeded: s.succeeded, Draining: s.draining.Load,
 	})
@@ -306,9 +306,14 @@
 
 // offer puts a chosen value into force, if it is news.
 func (s *Server) offer(v *control.Value) {
-	if _, err := s.config.Offer(v); err != nil {
+	began := s.clock.Now()
+	fresh, err := s.config.Offer(v)
+	if err != nil {
 		s.fail("inforce", err)
 	}
+	if fresh && s.folder != nil {
+		s.log.Info("saved", "version", v.Version, "took", s.clock.Now().Sub(began))
+	}
 }
 
 // Changed implements announcer.Listener.
