Fetcher: a silent node delays a version by 50 ms, not by its time-out

Callers saw: a confirmed change not in force in time, answers 404, 401 or the old service from single nodes (CONFIG), where nodes were frozen, cut off or without power.

Cause: a fetch asked the node that told of a version, alone, for up to 2 s, which is the whole time in which a version has to be in force everywhere; news waited meanwhile, four items at most, the rest was dropped; a failed fetch was not repeated until somebody told again. A node that told and then froze held its neighbour back, and all behind it. Class: a sequential wait on one peer with the time-out of the whole task.

Now claims of all nodes are kept (8 nodes, 30 s); the next one is asked after 50 ms or an error, first those that were heard first, then the replicas; all once more after 0.1 s, doubling to 2 s. A claim that its node does not keep is dropped.

Conclusion: shown to break the bound; whether it is what was reported is not known, as the report has no record.

--- /dev/null
+++ b/pkg/fetcher/fetcher.go
@@ -0,0 +1,169 @@
+package fetcher
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+const (
+	// fetchTimeout bounds one fetch of a configuration.
+	fetchTimeout = 2 * time.Second
+	// hedgeDelay is how long a node may take to answer before the next one is
+	// asked too: longer than a body of 1,400 routes takes over a link of 200
+	// Mbit/s, and a small part of the 2 s in which a version is in force
+	// everywhere.
+	hedgeDelay = 50 * time.Millisecond
+	// retryFirst and retryMost bound the pause after all nodes that have a version
+	// were asked in vain; it doubles from the one to the other.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
+
+// Asking asks the node at an address for its configuration.
+type Asking func(ctx context.Context, address string, r *control.FetchRequest) (*control.Value, error)
+
+// Options are what a fetcher needs of the rest of the node.
+type Options struct {
+	Ask    Asking
+	Config *enforcer.Enforcer
+	// Offer puts a value into force.
+	Offer func(*control.Value)
+	// Whole tells that this node needs the whole value, as a replica does.
+	Whole bool
+	// Replicas lists the addresses of nodes that have the whole value.
+	Replicas func() []string
+	Clock    timekeeper.Clock
+	Log      *slog.Logger
+}
+
+// Fetcher fetches configurations from nodes that have a higher version.
+type Fetcher struct {
+	options Options
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	claims claims
+	// highest is the highest version ever heard of, at that time.
+	highest uint64
+	at      time.Time
+	// changed is closed when another version comes into force.
+	changed chan struct{}
+}
+
+// New makes a fetcher; it fetches while it runs.
+func New(options Options) *Fetcher {
+	return &Fetcher{options: options, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+}
+
+// Want notes that the node at an address has a version.
+func (f *Fetcher) Want(version uint64, address string) {
+	own := f.version()
+	if version <= own {
+		return
+	}
+	now := f.options.Clock.Now()
+	f.mu.Lock()
+	f.claims.add(address, version, now)
+	fresh := version > f.highest
+	if fresh {
+		f.highest, f.at = version, now
+	}
+	f.mu.Unlock()
+	if fresh {
+		f.options.Log.Info("heard", "version", version, "from", address, "inforce", own)
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Behind returns the highest version that another node claims to have and for how
+// long this node has known of it. It is the one in force when none is higher.
+func (f *Fetcher) Behind() (version uint64, age time.Duration) {
+	own, now := f.version(), f.options.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.claims.prune(own, now)
+	if len(f.claims.list) == 0 {
+		return own, 0
+	}
+	return f.claims.highest(), now.Sub(f.at)
+}
+
+// Age is the time since a version was first heard of; 0 when it was not, or
+// when a higher one was.
+func (f *Fetcher) Age(version uint64) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.highest != version {
+		return 0
+	}
+	return f.options.Clock.Now().Sub(f.at)
+}
+
+// InForce wakes those that wait for another version.
+func (f *Fetcher) InForce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Changed is closed when another version than the one in force now comes into
+// force.
+func (f *Fetcher) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *Fetcher) version() uint64 { return f.options.Config.Current().Version() }
+
+// Run fetches until the context ends.
+func (f *Fetcher) Run(ctx context.Context) { f.loop(ctx) }
+
+func (f *Fetcher) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wake:
+			f.catchUp(ctx)
+		}
+	}
+}
+
+// catchUp asks nodes until no higher version is claimed than the one in force.
+func (f *Fetcher) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &round{fetcher: f, answers: make(chan answer, maxAsked), asked: map[string]uint64{}, pause: retryFirst}
+	for f.isBehind() {
+		r.askNext(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-r.answers:
+			r.take(a)
+		case <-r.hedge:
+			r.hedge = nil
+		case <-r.retry:
+			r.retry = nil
+			clear(r.asked)
+		case <-f.wake:
+			// Another node has claimed a version.
+		}
+	}
+}
+
+func (f *Fetcher) isBehind() bool {
+	version, _ := f.Behind()
+	return version > f.version()
+}
--- /dev/null
+++ b/pkg/fetcher/fetcher_test.go
@@ -0,0 +1,266 @@
+package fetcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/fetcher"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// bubbleClock is the clock of a synctest bubble.
+type bubbleClock struct{ timekeeper.System }
+
+// Now implements timekeeper.Clock.
+func (bubbleClock) Now() time.Time { return time.Now() }
+
+// hopTime is the part of the time for a version to be in force everywhere that
+// one node may take: a flood over 92 nodes passes five.
+const hopTime = 2 * time.Second / 5
+
+// fleet is what the node under test asks, by address.
+type fleet map[string]fetcher.Asking
+
+func (f fleet) ask(ctx context.Context, address string, r *control.FetchRequest) (*control.Value, error) {
+	return f[address](ctx, address, r)
+}
+
+// silent never answers.
+func silent(ctx context.Context, _ string, _ *control.FetchRequest) (*control.Value, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// having answers with a version after a while.
+func having(version uint64, after time.Duration) fetcher.Asking {
+	return func(ctx context.Context, _ string, r *control.FetchRequest) (*control.Value, error) {
+		select {
+		case <-time.After(after):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if version <= r.Above {
+			return &control.Value{}, nil
+		}
+		return &control.Value{Version: version}, nil
+	}
+}
+
+// broken answers with an error a number of times.
+func broken(times int, then fetcher.Asking) fetcher.Asking {
+	return func(ctx context.Context, address string, r *control.FetchRequest) (*control.Value, error) {
+		if times > 0 {
+			times--
+			return nil, errors.New("connection reset")
+		}
+		return then(ctx, address, r)
+	}
+}
+
+// node is the node under test.
+type node struct {
+	*fetcher.Fetcher
+	config *enforcer.Enforcer
+}
+
+func (n *node) version() uint64 { return n.config.Current().Version() }
+
+// play runs a fetcher in a bubble.
+func play(t *testing.T, options fetcher.Options, run func(t *testing.T, n *node)) {
+	synctest.Test(t, func(t *testing.T) {
+		config, err := enforcer.Open(nil, nil)
+		qt.Assert(t, err, qt.IsNil)
+		options.Config, options.Clock, options.Log = config, bubbleClock{}, slog.New(slog.DiscardHandler)
+		options.Offer = func(v *control.Value) {
+			_, err := config.Offer(v)
+			qt.Check(t, err, qt.IsNil)
+		}
+		n := &node{Fetcher: fetcher.New(options), config: config}
+		ctx, cancel := context.WithCancel(t.Context())
+		go n.Run(ctx)
+		run(t, n)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestSilentTellersHoldAVersionBack has nodes tell of a version and freeze, all
+// but one.
+func TestSilentTellersHoldAVersionBack(t *testing.T) {
+	for _, count := range []int{0, 1, 2, 4} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			nodes := fleet{"sound": having(2, 2*time.Millisecond)}
+			for i := range count {
+				nodes[fmt.Sprint("frozen", i)] = silent
+			}
+			play(t, fetcher.Options{Ask: nodes.ask}, func(t *testing.T, n *node) {
+				for i := range count {
+					n.Want(2, fmt.Sprint("frozen", i))
+				}
+				n.Want(2, "sound")
+				time.Sleep(hopTime)
+				qt.Check(t, n.version(), qt.Equals, uint64(2))
+			})
+		})
+	}
+}
+
+// TestReplicasAreAskedWhenTheTellerIsSilent has only one node tell of a version,
+// which freezes.
+func TestReplicasAreAskedWhenTheTellerIsSilent(t *testing.T) {
+	nodes := fleet{"frozen": silent, "replica": having(2, 2*time.Millisecond)}
+	replicas := func() []string { return []string{"replica"} }
+	play(t, fetcher.Options{Ask: nodes.ask, Replicas: replicas}, func(t *testing.T, n *node) {
+		n.Want(2, "frozen")
+		time.Sleep(hopTime)
+		qt.Check(t, n.version(), qt.Equals, uint64(2))
+	})
+}
+
+// TestFailedFetchIsNotRepeated has a node tell once of a version and reset the
+// first connections.
+func TestFailedFetchIsNotRepeated(t *testing.T) {
+	nodes := fleet{"sound": broken(2, having(2, 2*time.Millisecond))}
+	play(t, fetcher.Options{Ask: nodes.ask}, func(t *testing.T, n *node) {
+		n.Want(2, "sound")
+		time.Sleep(hopTime)
+		qt.Check(t, n.version(), qt.Equals, uint64(2))
+	})
+}
+
+// TestNewsIsDropped has more nodes tell than were remembered, of which only the
+// last one has the version.
+func TestNewsIsDropped(t *testing.T) {
+	nodes := fleet{"sound": having(2, 2*time.Millisecond)}
+	for i := range 20 {
+		nodes[fmt.Sprint("older", i)] = having(1, 2*time.Millisecond)
+	}
+	play(t, fetcher.Options{Ask: nodes.ask}, func(t *testing.T, n *node) {
+		for i := range 20 {
+			n.Want(2, fmt.Sprint("older", i))
+		}
+		n.Want(2, "sound")
+		time.Sleep(hopTime)
+		qt.Check(t, n.version(), qt.Equals, uint64(2))
+	})
+}
+
+// TestVersionsOvertakeAFetch has a node tell a version each 60 ms, while another
+// one that told before is silent.
+func TestVersionsOvertakeAFetch(t *testing.T) {
+	var newest atomic.Uint64
+	nodes := fleet{"frozen": silent, "sound": func(ctx context.Context, address string, r *control.FetchRequest) (*control.Value, error) {
+		return having(newest.Load(), 2*time.Millisecond)(ctx, address, r)
+	}}
+	play(t, fetcher.Options{Ask: nodes.ask}, func(t *testing.T, n *node) {
+		n.Want(2, "frozen")
+		for v := uint64(3); v < 40; v++ {
+			newest.Store(v)
+			n.Want(v, "sound")
+			time.Sleep(60 * time.Millisecond)
+		}
+		time.Sleep(hopTime)
+		qt.Check(t, n.version(), qt.Equals, uint64(39))
+	})
+}
+
+// TestClaimThatNobodyKeeps tells of a version that no node has: this node is not
+// behind once that is known, and does not ask on.
+func TestClaimThatNobodyKeeps(t *testing.T) {
+	asked := 0
+	ask := func(context.Context, string, *control.FetchRequest) (*control.Value, error) {
+		asked++
+		return &control.Value{}, nil
+	}
+	play(t, fetcher.Options{Ask: ask}, func(t *testing.T, n *node) {
+		n.Want(1<<60, "damaged")
+		time.Sleep(hopTime)
+		version, _ := n.Behind()
+		qt.Check(t, version, qt.Equals, uint64(0))
+		qt.Check(t, asked, qt.Equals, 1)
+	})
+}
+
+// TestNodeOutOfReachIsForgotten tells of a version of a node that never answers.
+func TestNodeOutOfReachIsForgotten(t *testing.T) {
+	asked := 0
+	ask := func(context.Context, string, *control.FetchRequest) (*control.Value, error) {
+		asked++
+		return nil, errors.New("connection refused")
+	}
+	play(t, fetcher.Options{Ask: ask}, func(t *testing.T, n *node) {
+		n.Want(2, "gone")
+		time.Sleep(10 * time.Second)
+		version, age := n.Behind()
+		qt.Check(t, version, qt.Equals, uint64(2))
+		qt.Check(t, age, qt.Equals, 10*time.Second)
+		time.Sleep(30 * time.Second)
+		version, _ = n.Behind()
+		qt.Check(t, version, qt.Equals, uint64(0))
+		qt.Check(t, asked < 30, qt.IsTrue, qt.Commentf("%d", asked))
+	})
+}
+
+// library gives a value to all who fetch it, after a while, and counts.
+type library struct {
+	mu    sync.Mutex
+	value *control.Value
+	// asked and bodies count fetches and those that brought something.
+	asked, bodies int
+}
+
+func (l *library) fetch(_ context.Context, _ string, r *control.FetchRequest) (*control.Value, error) {
+	time.Sleep(10 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked++
+	if l.value.Version <= r.Above {
+		return &control.Value{}, nil
+	}
+	l.bodies++
+	return l.value, nil
+}
+
+// TestVersionIsFetchedAgain has many neighbours tell of one new version while
+// it is being fetched.
+func TestVersionIsFetchedAgain(t *testing.T) {
+	l := &library{value: &control.Value{Version: 2}}
+	play(t, fetcher.Options{Ask: l.fetch}, func(t *testing.T, n *node) {
+		for range 10 {
+			n.Want(2, "neighbour")
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		qt.Check(t, n.version(), qt.Equals, uint64(2))
+		qt.Check(t, l.asked, qt.Equals, 1)
+		qt.Check(t, l.bodies, qt.Equals, 1)
+	})
+}
+
+// TestSpareHearsFromNeighboursOnly starts a replica that is no member of the set
+// beside nodes that have no whole value.
+func TestSpareHearsFromNeighboursOnly(t *testing.T) {
+	ask := func(_ context.Context, address string, _ *control.FetchRequest) (*control.Value, error) {
+		if address != "replica" {
+			return nil, errors.New("this instance does not have the whole value")
+		}
+		return &control.Value{Version: 2}, nil
+	}
+	replicas := func() []string { return []string{"replica"} }
+	play(t, fetcher.Options{Ask: ask, Whole: true, Replicas: replicas}, func(t *testing.T, n *node) {
+		n.Want(2, "neighbour")
+		time.Sleep(time.Second)
+		qt.Check(t, n.version(), qt.Equals, uint64(2))
+	})
+}
--- a/pkg/gossiper/cut_test.go
+++ b/pkg/gossiper/cut_test.go
@@ -14,6 +14,8 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/fetcher"
 	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -40,11 +42,35 @@
 	fleet  *running
 	half   int
 	centre string
+	// silent nodes neither send nor answer.
+	silent atomic.Bool
+	// config and fetcher are set by configure; link is taken by one body at a
+	// time.
+	config  *enforcer.Enforcer
+	fetcher *fetcher.Fetcher
+	link    chan struct{}
+}
+
+// Version implements gossiper.Source.
+func (r *runner) Version() uint64 {
+	if r.config == nil {
+		return r.version
+	}
+	return r.config.Current().Version()
+}
+
+// Hear implements gossiper.Source.
+func (r *runner) Hear(version uint64, address string) {
+	if r.config == nil {
+		r.member.Hear(version, address)
+		return
+	}
+	r.fetcher.Want(version, address)
 }
 
 // Send implements gossiper.Carrier.
 func (r *runner) Send(address string, p *control.Packet) {
-	if to := r.reach(address); to != nil && r.fleet.carry(r, to, proto.Size(p)+sealBytes) {
+	if to := r.reach(address); to != nil && !to.silent.Load() && !r.silent.Load() && r.fleet.carry(r, to, proto.Size(p)+sealBytes) {
 		to.gossip.Receive(proto.Clone(p).(*control.Packet))
 	}
 }
@@ -52,7 +78,7 @@
 // Sync implements gossiper.Syncer.
 func (r *runner) Sync(_ context.Context, address string, request *control.SyncRequest) (*control.SyncReply, error) {
 	to := r.reach(address)
-	if to == nil {
+	if to == nil || to.silent.Load() || r.silent.Load() {
 		return nil, errors.New("out of reach")
 	}
 	reply := to.gossip.AnswerSync(proto.Clone(request).(*control.SyncRequest))
@@ -74,6 +100,12 @@
 
 // startFleet starts nodes in a number of data centres.
 func startFleet(ctx context.Context, size, centres int) *running {
+	f := newFleet(size, centres)
+	f.start(ctx)
+	return f
+}
+
+func newFleet(size, centres int) *running {
 	f := &running{byAdr: map[string]*runner{}}
 	for i := range size {
 		r := &runner{fleet: f, half: i % 2, centre: fmt.Sprint("centre", i%centres), member: member{
@@ -84,11 +116,14 @@
 		f.nodes = append(f.nodes, r)
 		f.byAdr[r.name] = r
 	}
+	return f
+}
+
+func (f *running) start(ctx context.Context) {
 	for _, r := range f.nodes {
 		go r.gossip.Run(ctx)
 		go r.gossip.SyncLoop(ctx, r)
 	}
-	return f
 }
 
 // TestCutDataCentreSendsCrashingRequestOn crashes three targets in one half of a
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/fetcher"
 	"github.com/primrosewall/primrosewall/pkg/forwarder"
 	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/limiter"
@@ -82,7 +83,7 @@
 	carrier   *carrier
 	source    *source
 	gossip    *gossiper.Gossiper
-	fetcher   *fetcher
+	fetcher   *fetcher.Fetcher
 	directory *directory
 	proposer  *replicator.Proposer
 	witness   *limiter.Witness
@@ -182,7 +183,9 @@
 func (s *Server) buildState() {
 	life := randomName()
 	s.caller = caller.New(s.sealer.Client(), s.traffic.message)
-	s.fetcher = newFetcher(s.caller.Fetch, s.config, s.offer, s.folder != nil, s.clock, s.log)
+	s.fetcher = fetcher.New(fetcher.Options{
+		Ask: s.caller.Fetch, Config: s.config, Offer: s.offer, Whole: s.folder != nil, Replicas: s.otherReplicas, Clock: s.clock, Log: s.log,
+	})
 	s.source = &source{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, fail: s.fail}
 	self := &control.Entry{
 		Instance: s.settings.Instance, Centre: s.settings.Centre, Address: s.settings.Peer,
@@ -194,7 +197,6 @@
 	s.carrier = &carrier{sealer: s.sealer, count: s.count, meter: s.traffic.message}
 	s.gossip = gossiper.New(self, s.seeds(), s.clock, s.carrier, s.source, newRandom())
 	s.carrier.receive = s.gossip.Receive
-	s.fetcher.replicas = s.otherReplicas
 	s.directory = &directory{gossip: s.gossip, config: s.config, caller: s.caller, centre: s.settings.Centre, clock: s.clock, holders: map[string]string{}, doubted: map[string]time.Time{}}
 	s.proposer = replicator.NewProposer(s.caller, s.clock, s.settings.Instance+"/"+life, newRandom(), s.offer)
 	s.witness = limiter.NewWitness(s.clock, s.source.Version)
@@ -203,8 +205,9 @@
 	s.config.Subscribe(func(c *enforcer.Config) {
 		d := c.Declaration()
 		s.log.Info("inforce", "version", c.Version(), "revision", c.Revision(), "epoch", c.Value().Epoch,
-			"routes", len(d.Routes), "teams", len(d.Teams), "rate", d.TotalRate(), "heard", s.fetcher.age(c.Version()))
+			"routes", len(d.Routes), "teams", len(d.Teams), "rate", d.TotalRate(), "heard", s.fetcher.Age(c.Version()))
 		s.gossip.TellVersion()
+		s.fetcher.InForce()
 	})
 }
 
@@ -247,7 +250,7 @@
 		Misdirected: func(t *forwarder.Target) { s.announcer.Misdirected(t) },
 		Targets:     s.directory.targets,
 		Target:      func() *forwarder.Target { return s.announcer.Target() },
-		Ready:       s.ready, InContact: s.inContact, Behind: s.fetcher.behind,
+		Ready:       s.ready, InContact: s.inContact, Behind: s.fetcher.Behind,
 		Suspect: func(t *forwarder.Target) { s.announcer.Suspect(t) },
 		Sent:    s.traffic.request, Retries: s.retries, Succeeded: s.succeeded, Draining: s.draining.Load,
 	})
--- a/pkg/server/source.go
+++ b/pkg/server/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/pkg/fetcher"
 	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
 	"github.com/primrosewall/primrosewall/pkg/withdrawer"
@@ -13,7 +14,7 @@
 	config     *enforcer.Enforcer
 	withdrawn  *withdrawer.Withdrawer
 	quarantine *quarantiner.Quarantiner
-	fetcher    *fetcher
+	fetcher    *fetcher.Fetcher
 	fail       func(event string, err error)
 }
 
@@ -21,7 +22,7 @@
 func (s *source) Version() uint64 { return s.config.Current().Version() }
 
 // Hear implements gossiper.Source.
-func (s *source) Hear(version uint64, address string) { s.fetcher.want(version, address) }
+func (s *source) Hear(version uint64, address string) { s.fetcher.Want(version, address) }
 
 // Merge implements gossiper.Source.
 func (s *source) Merge(items gossiper.Items) gossiper.Items {
