Forwarder: a node that is behind does not refuse for good

Callers saw: 404 and 401, which end a request, from a node that had heard of the version that allows it.

Cause: the filters for routes and keys decide by the version in force and do not ask whether a newer one was heard of. Class: a final answer from a belief that is known to be out of date.

A withdrawn key is refused as before. What only the older version allows is served on: its node cannot know, and refusing all work during each change would cost every caller more.

--- a/pkg/fetcher/fetcher_test.go
+++ b/pkg/fetcher/fetcher_test.go
@@ -19,12 +19,6 @@
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
-// bubbleClock is the clock of a synctest bubble.
-type bubbleClock struct{ timekeeper.System }
-
-// Now implements timekeeper.Clock.
-func (bubbleClock) Now() time.Time { return time.Now() }
-
 // hopTime is the part of the time for a version to be in force everywhere that
 // one node may take: a flood over 92 nodes passes five.
 const hopTime = 2 * time.Second / 5
@@ -81,7 +75,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		config, err := enforcer.Open(nil, nil)
 		qt.Assert(t, err, qt.IsNil)
-		options.Config, options.Clock, options.Log = config, bubbleClock{}, slog.New(slog.DiscardHandler)
+		options.Config, options.Clock, options.Log = config, timekeeper.Runtime{}, slog.New(slog.DiscardHandler)
 		options.Offer = func(v *control.Value) {
 			_, err := config.Offer(v)
 			qt.Check(t, err, qt.IsNil)
--- a/pkg/forwarder/filters.go
+++ b/pkg/forwarder/filters.go
@@ -11,6 +11,7 @@
 func (f *Forwarder) entryFilters() []Filter {
 	return []Filter{
 		&scrubFilter{f},
+		&versionFilter{f},
 		&routeFilter{f},
 		&keyFilter{f},
 		&poisonFilter{f},
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -75,6 +75,9 @@
 	// Behind returns the highest version that another node is known to have, and
 	// for how long that is known; 0 when none is newer than the one in force.
 	Behind func() (version uint64, age time.Duration)
+	// Changed is closed when another version than the one in force now comes into
+	// force.
+	Changed func() <-chan struct{}
 	// Suspect hears that a target's connection broke.
 	Suspect func(*Target)
 	// Succeeded hears of every request that a target has answered with success.
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -71,6 +71,9 @@
 	ReasonQuorum   Reason = "quorum"
 	ReasonContact  Reason = "contact"
 	ReasonLost     Reason = "lost"
+	// ReasonBehind stands for requests that the version in force does not allow,
+	// at a node that knows of a newer one.
+	ReasonBehind Reason = "behind"
 	// ReasonGone stands for requests whose caller went away before the answer.
 	ReasonGone Reason = "gone"
 	// ReasonDeclined stands for requests that reached a target, which says that
--- a/pkg/gossiper/cut_test.go
+++ b/pkg/gossiper/cut_test.go
@@ -18,6 +18,7 @@
 	"github.com/primrosewall/primrosewall/pkg/fetcher"
 	"github.com/primrosewall/primrosewall/pkg/gossiper"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -109,10 +110,10 @@
 	f := &running{byAdr: map[string]*runner{}}
 	for i := range size {
 		r := &runner{fleet: f, half: i % 2, centre: fmt.Sprint("centre", i%centres), member: member{
-			name: fmt.Sprintf("10.%d.0.%d:7401", i%centres, i), version: 1, merged: map[string]bool{}, quarantine: quarantiner.New(bubbleClock{}, nil),
+			name: fmt.Sprintf("10.%d.0.%d:7401", i%centres, i), version: 1, merged: map[string]bool{}, quarantine: quarantiner.New(timekeeper.Runtime{}, nil),
 		}}
 		self := &control.Entry{Instance: r.name, Centre: r.centre, Address: r.name, Service: fmt.Sprint("service", i%20), Slots: 100, Life: fmt.Sprintf("%016x", i)}
-		r.gossip = gossiper.New(self, []string{"10.0.0.0:7401", "10.1.0.1:7401"}, bubbleClock{}, r, r, rand.New(rand.NewPCG(1, uint64(i))))
+		r.gossip = gossiper.New(self, []string{"10.0.0.0:7401", "10.1.0.1:7401"}, timekeeper.Runtime{}, r, r, rand.New(rand.NewPCG(1, uint64(i))))
 		f.nodes = append(f.nodes, r)
 		f.byAdr[r.name] = r
 	}
--- a/pkg/gossiper/sync_test.go
+++ b/pkg/gossiper/sync_test.go
@@ -65,22 +65,13 @@
 	})
 }
 
-// bubbleClock is the clock of a synctest bubble.
-type bubbleClock struct{}
-
-// Now implements timekeeper.Clock.
-func (bubbleClock) Now() time.Time { return time.Now() }
-
-// After implements timekeeper.Clock.
-func (bubbleClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
-
 // TestStartedNodeKnowsNothingForSeconds probes a node that has other news than
 // the one that probes it, long before the next comparison is due.
 func TestStartedNodeKnowsNothingForSeconds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &starter{}
 		s.version.Store(1)
-		g := gossiper.New(&control.Entry{Instance: "own", Address: "own"}, []string{"other"}, bubbleClock{}, s, s, rand.New(rand.NewPCG(1, 1)))
+		g := gossiper.New(&control.Entry{Instance: "own", Address: "own"}, []string{"other"}, timekeeper.Runtime{}, s, s, rand.New(rand.NewPCG(1, 1)))
 		ctx, cancel := context.WithCancel(t.Context())
 		go g.SyncLoop(ctx, s)
 		time.Sleep(1500 * time.Millisecond)
--- a/pkg/gossiper/version_test.go
+++ b/pkg/gossiper/version_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/fetcher"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -42,7 +43,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		r.config, r.link = config, make(chan struct{}, 1)
 		r.fetcher = fetcher.New(fetcher.Options{
-			Ask: r.fetch, Config: config, Offer: r.offer, Clock: bubbleClock{}, Log: slog.New(slog.DiscardHandler),
+			Ask: r.fetch, Config: config, Offer: r.offer, Clock: timekeeper.Runtime{}, Log: slog.New(slog.DiscardHandler),
 		})
 		go r.fetcher.Run(ctx)
 	}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -250,7 +250,7 @@
 		Misdirected: func(t *forwarder.Target) { s.announcer.Misdirected(t) },
 		Targets:     s.directory.targets,
 		Target:      func() *forwarder.Target { return s.announcer.Target() },
-		Ready:       s.ready, InContact: s.inContact, Behind: s.fetcher.Behind,
+		Ready:       s.ready, InContact: s.inContact, Behind: s.fetcher.Behind, Changed: s.fetcher.Changed,
 		Suspect: func(t *forwarder.Target) { s.announcer.Suspect(t) },
 		Sent:    s.traffic.request, Retries: s.retries, Succeeded: s.succeeded, Draining: s.draining.Load,
 	})
--- a/pkg/timekeeper/timekeeper.go
+++ b/pkg/timekeeper/timekeeper.go
@@ -41,6 +41,16 @@
 // After implements Clock.
 func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// Runtime is the clock of the Go runtime, which a synctest bubble replaces. The
+// zero value works.
+type Runtime struct{}
+
+// Now implements Clock.
+func (Runtime) Now() time.Time { return time.Now() }
+
+// After implements Clock.
+func (Runtime) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
 // Manual is a clock that moves only when it is told to. The zero value works
 // and starts at the zero time.
 type Manual struct {
