Gossiper: a comparison of tables ends after a second

A node that has just started, or that was cut off, learns the configuration, members and withdrawn keys by comparing its table with one other node at a time, and that question had no time limit of its own: it ended when the connection did. What probes of other nodes asked for waited meanwhile.

Now it ends after 1 s. Test: TestSilentNodeHoldsComparisonsUp, seen failing on the code before.

--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -24,6 +24,8 @@
 	// syncChoices is among how many random members one of the own data centre is
 	// looked for; at times there is none, so that data centres compare too.
 	syncChoices = 3
+	// syncTimeout bounds one comparison: a table of 4,100 members at 10 Mbit/s.
+	syncTimeout = time.Second
 	// syncLost is how many comparisons out of ten go to a lost address.
 	syncLost = 3
 )
@@ -171,11 +173,9 @@
 		if address == "" {
 			continue
 		}
-		reply, err := syncer.Sync(ctx, address, g.syncRequest(g.source.Digest()))
-		if err != nil {
+		if err := g.compare(ctx, syncer, address); err != nil {
 			continue
 		}
-		g.takeSync(ctx, syncer, address, reply)
 		// A node without a configuration can serve nothing, and the one that was
 		// asked may have none either.
 		if pause = syncPeriod; g.source.Version() == 0 {
@@ -184,6 +184,18 @@
 	}
 }
 
+// compare compares tables with the node at an address.
+func (g *Gossiper) compare(ctx context.Context, syncer Syncer, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	reply, err := syncer.Sync(ctx, address, g.syncRequest(g.source.Digest()))
+	if err != nil {
+		return err
+	}
+	g.takeSync(ctx, syncer, address, reply)
+	return nil
+}
+
 // syncAddress picks a live member, rather of the own data centre, or at times a
 // lost one.
 func (g *Gossiper) syncAddress() string {
--- a/pkg/gossiper/sync_test.go
+++ b/pkg/gossiper/sync_test.go
@@ -39,9 +39,14 @@
 // All implements gossiper.Source.
 func (s *starter) All() gossiper.Items { return gossiper.Items{} }
 
-// Sync implements gossiper.Syncer, as another node without a configuration.
-func (s *starter) Sync(context.Context, string, *control.SyncRequest) (*control.SyncReply, error) {
+// Sync implements gossiper.Syncer, as another node without a configuration. The
+// node "silent" never answers.
+func (s *starter) Sync(ctx context.Context, address string, _ *control.SyncRequest) (*control.SyncReply, error) {
 	s.syncs.Add(1)
+	if address == "silent" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return &control.SyncReply{From: "other"}, nil
 }
 
@@ -94,3 +99,21 @@
 		synctest.Wait()
 	})
 }
+
+// TestSilentNodeHoldsComparisonsUp has a node that has just started compare with
+// one that never answers, and others probe it meanwhile.
+func TestSilentNodeHoldsComparisonsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &starter{}
+		g := gossiper.New(&control.Entry{Instance: "own", Address: "own"}, []string{"silent"}, timekeeper.Runtime{}, s, s, rand.New(rand.NewPCG(1, 1)))
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.SyncLoop(ctx, s)
+		time.Sleep(500 * time.Millisecond)
+		qt.Check(t, s.syncs.Load(), qt.Equals, int64(1))
+		g.Receive(&control.Packet{Kind: control.Kind_KIND_PING, From: "other", Address: "other", Version: 1, News: 7})
+		time.Sleep(time.Second)
+		qt.Check(t, s.syncs.Load() >= 2, qt.IsTrue)
+		cancel()
+		synctest.Wait()
+	})
+}
