Enforcer: no version waits for the disk of its node

Callers saw, on a replica whose disk stalls: an older version than the one that the register holds; behind it, nodes that hear of a version from this one only.

Cause: Offer wrote the value to the disk before it put it into force, under the lock that all later versions take, so that a stalled disk held up every one of them. The write is not needed for safety: the register holds the value at a majority, and a replica that restarts reads it there. Class: a lock held over a disk write.

Now a version is in force and told first; then the newest one is written, by one caller at a time.

Test: TestVersionWaitsForTheDisk. On the code before it hangs (ended after 60 s): the second version waits for the lock while the disk stalls.

--- a/pkg/enforcer/enforcer.go
+++ b/pkg/enforcer/enforcer.go
@@ -161,6 +161,10 @@
 	interpret Interpreter
 	current   atomic.Pointer[Config]
 	hear      []func(*Config)
+
+	// saving is held while the disk is written, saved is the version on it.
+	saving sync.Mutex
+	saved  atomic.Uint64
 }
 
 // Open reads the version that was last in force; disk and interpret may be
@@ -187,6 +191,7 @@
 		return nil, err
 	}
 	e.current.Store(c)
+	e.saved.Store(c.Version())
 	return e, nil
 }
 
@@ -200,8 +205,18 @@
 	e.hear = append(e.hear, f)
 }
 
-// Offer puts a chosen value into force if it is newer than the one in force.
+// Offer puts a chosen value into force if it is newer than the one in force, and
+// then saves it. An error without effect is one of the value, any other one of
+// the disk: the register holds the value at a majority of the replicas, so that no
+// version waits for the disk of this one.
 func (e *Enforcer) Offer(value *control.Value) (bool, error) {
+	if fresh, err := e.enforce(value); !fresh {
+		return false, err
+	}
+	return true, e.save()
+}
+
+func (e *Enforcer) enforce(value *control.Value) (bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if value.GetVersion() <= e.Current().Version() {
@@ -211,23 +226,40 @@
 	if err != nil {
 		return false, err
 	}
-	diskErr := e.save(value)
 	e.current.Store(c)
 	for _, f := range e.hear {
 		f(c)
 	}
-	return true, diskErr
+	return true, nil
 }
 
-// save remembers the value. A full disk does not keep a version from coming
-// into force: the register holds it at a majority of the replicas.
-func (e *Enforcer) save(value *control.Value) error {
+// save writes the version in force to the disk until that is the newest one. While
+// another call does so, there is nothing to do.
+func (e *Enforcer) save() error {
 	if e.disk == nil {
 		return nil
 	}
+	for e.saved.Load() < e.Current().Version() {
+		if !e.saving.TryLock() {
+			return nil
+		}
+		err := e.write(e.Current().Value())
+		e.saving.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Enforcer) write(value *control.Value) error {
 	raw, err := proto.Marshal(value)
 	if err != nil {
 		return fmt.Errorf("encode chosen value: %w", err)
 	}
-	return e.disk.Write(chosenFile, raw)
+	if err := e.disk.Write(chosenFile, raw); err != nil {
+		return err
+	}
+	e.saved.Store(value.Version)
+	return nil
 }
--- /dev/null
+++ b/pkg/enforcer/enforcer_test.go
@@ -0,0 +1,100 @@
+package enforcer_test
+
+import (
+	"errors"
+	"io/fs"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// stalled is a disk whose writes wait until it is released.
+type stalled struct {
+	released chan struct{}
+	err      error
+
+	mu      sync.Mutex
+	content []byte
+	writes  int
+}
+
+// Read implements storer.Disk.
+func (d *stalled) Read(string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.content == nil {
+		return nil, fs.ErrNotExist
+	}
+	return d.content, nil
+}
+
+// Write implements storer.Disk.
+func (d *stalled) Write(_ string, content []byte) error {
+	<-d.released
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.writes++
+	if d.err == nil {
+		d.content = content
+	}
+	return d.err
+}
+
+// saved returns the version that a restarted node would have in force.
+func (d *stalled) saved(t *testing.T) uint64 {
+	e, err := enforcer.Open(d, nil)
+	qt.Assert(t, err, qt.IsNil)
+	return e.Current().Version()
+}
+
+// TestVersionWaitsForTheDisk offers versions while the disk stalls: each is in
+// force at once, and the newest is on the disk once it goes on.
+func TestVersionWaitsForTheDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &stalled{released: make(chan struct{})}
+		e, err := enforcer.Open(d, nil)
+		qt.Assert(t, err, qt.IsNil)
+		heard := uint64(0)
+		e.Subscribe(func(c *enforcer.Config) { heard = c.Version() })
+		for v := uint64(1); v <= 5; v++ {
+			go func() {
+				_, err := e.Offer(&control.Value{Version: v})
+				qt.Check(t, err, qt.IsNil)
+			}()
+			synctest.Wait()
+			qt.Check(t, e.Current().Version(), qt.Equals, v)
+			qt.Check(t, heard, qt.Equals, v)
+		}
+		close(d.released)
+		synctest.Wait()
+		qt.Check(t, d.saved(t), qt.Equals, uint64(5))
+		qt.Check(t, d.writes, qt.Equals, 2)
+	})
+}
+
+// TestFullDiskDoesNotStopVersions offers versions to a disk that takes none.
+func TestFullDiskDoesNotStopVersions(t *testing.T) {
+	d := &stalled{released: make(chan struct{}), err: errors.New("no space left")}
+	close(d.released)
+	e, err := enforcer.Open(d, nil)
+	qt.Assert(t, err, qt.IsNil)
+	for v := uint64(1); v <= 3; v++ {
+		fresh, err := e.Offer(&control.Value{Version: v})
+		qt.Check(t, fresh, qt.IsTrue)
+		qt.Check(t, err, qt.Equals, d.err)
+		qt.Check(t, e.Current().Version(), qt.Equals, v)
+	}
+	// There is room again.
+	d.err = nil
+	_, err = e.Offer(&control.Value{Version: 4})
+	qt.Assert(t, err, qt.IsNil)
+	stored := &control.Value{}
+	qt.Assert(t, proto.Unmarshal(d.content, stored), qt.IsNil)
+	qt.Check(t, stored.Version, qt.Equals, uint64(4))
+}
