Server: a node with the founding value only is not ready

Callers saw: 404 for every route of a node that has the empty value which founds the fleet, and not yet the first declaration.

Cause: readiness asked for any version. The founding value is version 1 and allows nothing, so that its node refused for good in place of answering 503. Such a node is one that started, was cut off or waited for a silent node between the founding and the first declaration.

Test: TestFoundingValueRefusesForGood, seen failing (reason route) before. All of ./test passes.

--- a/pkg/enforcer/enforcer.go
+++ b/pkg/enforcer/enforcer.go
@@ -81,6 +81,12 @@
 // Version is the number of this version; 0 is the empty one.
 func (c *Config) Version() uint64 { return c.value.GetVersion() }
 
+// IsDeclared tells whether operators have declared anything in this version or
+// before; the value that founds a fleet is empty.
+func (c *Config) IsDeclared() bool {
+	return len(c.value.GetDeclaration())+len(c.value.GetDocument()) > 0
+}
+
 // Declaration is what the operators declared.
 func (c *Config) Declaration() *declarer.Declaration { return c.declaration }
 
--- a/pkg/server/readiness.go
+++ b/pkg/server/readiness.go
@@ -4,13 +4,13 @@
 	"time"
 )
 
-// ready tells whether the configuration is known well enough to serve: some
-// others were heard, or there was time to hear them.
+// ready tells whether the configuration is known well enough to serve: one was
+// declared, and some others were heard, or there was time to hear them.
 func (s *Server) ready() bool {
 	if s.isReady.Load() {
 		return true
 	}
-	if s.config.Current().Version() == 0 {
+	if !s.config.Current().IsDeclared() {
 		return false
 	}
 	heard := s.gossip.Heard() >= min(readyHeard, len(s.seeds()))
--- /dev/null
+++ b/pkg/server/readiness_test.go
@@ -0,0 +1,34 @@
+package server
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/configurer"
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// TestFoundingValueRefusesForGood asks a node that has the empty value which
+// founds the fleet, and not yet the first declaration, for a route.
+func TestFoundingValueRefusesForGood(t *testing.T) {
+	settings := configurer.Default()
+	settings.Data = t.TempDir()
+	s, err := New(settings, timekeeper.System{}, slog.New(slog.DiscardHandler), nil)
+	qt.Assert(t, err, qt.IsNil)
+	reason := func() string {
+		w := httptest.NewRecorder()
+		s.forwarder.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/hello", nil))
+		return w.Header().Get(forwarder.HeaderReason)
+	}
+	qt.Check(t, reason(), qt.Equals, string(forwarder.ReasonContact))
+	s.offer(&control.Value{Version: 1, Epoch: 1})
+	qt.Check(t, reason(), qt.Equals, string(forwarder.ReasonContact))
+	s.offer(&control.Value{Version: 2, Epoch: 1, Declaration: []byte(`{}`)})
+	qt.Check(t, reason(), qt.Equals, string(forwarder.ReasonRoute))
+}
