Gossiper: an update is kept for members that become known

Cause: an update that no known member lacks was dropped at once. A node that heard of c before it knew a never told a of c; the next comparison of tables did.

Now it is kept for 2 s, the promise for a change to be known everywhere, and told to members that become known meanwhile.

Test: TestUpdateWithoutAudienceIsDropped, seen failing before.

--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -254,6 +254,21 @@
 	}
 }
 
+// TestUpdateWithoutAudienceIsDropped has a node hear of a second one before it
+// knows a third, which nobody else can tell of the second.
+func TestUpdateWithoutAudienceIsDropped(t *testing.T) {
+	g := newMesh(3)
+	third, told, second := g.nodes[0], g.nodes[1], g.nodes[2]
+	g.lost = func(from, to *member) bool { return from == third || to == third }
+	told.gossip.AnswerSync(&control.SyncRequest{From: second.name, Entries: []*control.Entry{second.gossip.Self()}})
+	g.run(500 * time.Millisecond)
+	g.lost = func(from, to *member) bool { return from == second && to == third || from == third && to == second }
+	told.gossip.AnswerSync(&control.SyncRequest{From: third.name, Entries: []*control.Entry{third.gossip.Self()}})
+	// The promise is 2 s.
+	g.run(2 * time.Second)
+	qt.Check(t, third.state(second), qt.Equals, control.State_STATE_ALIVE)
+}
+
 // BenchmarkGossip gives, for each size of the fleet, the bytes that a node
 // sends per second at rest, the bytes for one new version, the time until the
 // version is everywhere, and the processor time per node and second.
--- a/pkg/gossiper/queue.go
+++ b/pkg/gossiper/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -47,8 +48,9 @@
 	// them. knownIn are the data centres of which one has it.
 	known, knownIn []string
 	sent           int
-	// order is that of arrival.
+	// order is that of arrival, at since.
 	order uint64
+	since time.Time
 }
 
 func (u *update) kind() kind {
--- a/pkg/gossiper/updates.go
+++ b/pkg/gossiper/updates.go
@@ -13,6 +13,10 @@
 // ticks.
 const urgentGap = 20 * time.Millisecond
 
+// keepUpdate is how long an update is kept for members that become known after it:
+// the promise for a change to be known everywhere.
+const keepUpdate = 2 * time.Second
+
 // Items are what updates carry besides entries.
 type Items struct {
 	// Withdrawn are hashes of withdrawn keys.
@@ -73,7 +77,7 @@
 
 // tell spreads an update that came from a member; empty means this node.
 func (g *Gossiper) tell(u *update, from string) {
-	u.own = from == ""
+	u.own, u.since = from == "", g.clock.Now()
 	g.knows(u, from)
 	g.queue.add(u)
 }
@@ -93,7 +97,8 @@
 	}
 }
 
-// Waiting is how many updates are still to be told.
+// Waiting is how many updates are still to be told, or kept for members that may
+// become known.
 func (g *Gossiper) Waiting() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -128,7 +133,7 @@
 	return out
 }
 
-// batches lists for each member what it is to be told now, and drops updates
+// batches lists for each member what it is to be told now, and drops old updates
 // that nobody is to be told any more.
 func (g *Gossiper) batches(v *view) []*batch {
 	byName := map[string]*batch{}
@@ -147,12 +152,13 @@
 	for i, name := range v.others {
 		far[i] = v.centres[name][g.random.IntN(len(v.centres[name]))]
 	}
+	now := g.clock.Now()
 	for _, u := range g.queue.inOrder() {
 		lacking := g.lacking(u, v, far)
 		for _, e := range lacking {
 			to(e).add(u)
 		}
-		if len(lacking) == 0 {
+		if len(lacking) == 0 && now.Sub(u.since) >= keepUpdate {
 			g.queue.drop(u)
 		}
 	}
