Server: a silent replica does not keep the others from being asked

A replica that joins the set copies claim records from a majority of the former set, one member after the other within 2 s; a silent member before the others in the list took all of it, in every step, so that the new replica had no vote on claims while it stayed silent. Likewise for missing entries of the audit trail, and for the operator's question for them, which had no time limit.

Now records are asked for at the same time, history by turns of 0.8 s, and a trail that cannot be completed leaves a line.

--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
@@ -209,11 +210,13 @@
 // only when it no longer votes in the former epoch and its records were
 // complete there.
 func (c *copier) collect(ctx context.Context, former []*control.Member, epoch uint64) ([]*control.Record, bool) {
+	replies := askAll(ctx, former, func(ctx context.Context, m *control.Member) (*control.RecordsReply, error) {
+		return c.server.caller.Replica(m.Address).Records(ctx, &control.RecordsRequest{Replica: m.Identity})
+	})
 	var records []*control.Record
 	read := 0
-	for _, m := range former {
-		reply, err := c.server.caller.Replica(m.Address).Records(ctx, &control.RecordsRequest{Replica: m.Identity})
-		if err != nil || reply.Epoch < epoch || reply.Complete+1 < epoch {
+	for _, reply := range replies {
+		if reply.Epoch < epoch || reply.Complete+1 < epoch {
 			continue
 		}
 		records = append(records, reply.Records...)
@@ -222,6 +225,8 @@
 	return records, len(former) == 0 || read > len(former)/2
 }
 
+var errNoHistory = errors.New("the replica has none of the entries that are missing")
+
 // historian writes the audit trail, and fetches entries that were missed.
 type historian struct{ server *Server }
 
@@ -248,17 +253,24 @@
 
 func (c *historian) fetch(ctx context.Context, value *control.Value) {
 	s := c.server
+	var others []*control.Member
 	for _, m := range value.Replicas {
-		if m.Address == s.settings.Peer {
-			continue
+		if m.Address != s.settings.Peer {
+			others = append(others, m)
 		}
+	}
+	reply, err := askEach(ctx, others, func(ctx context.Context, m *control.Member) (*control.HistoryReply, error) {
 		reply, err := s.caller.Peer(m.Address).History(ctx, &control.HistoryRequest{From: s.audit.Last() + 1})
-		if err != nil || len(reply.Changes) == 0 {
-			continue
-		}
-		if _, err := s.audit.Add(reply.Changes); err != nil {
-			s.fail("audit", err)
+		if err == nil && len(reply.Changes) == 0 {
+			err = errNoHistory
 		}
+		return reply, err
+	})
+	if err != nil {
+		s.log.Warn("history", "error", err.Error())
 		return
 	}
+	if _, err := s.audit.Add(reply.Changes); err != nil {
+		s.fail("audit", err)
+	}
 }
--- a/pkg/server/operator_service.go
+++ b/pkg/server/operator_service.go
@@ -157,15 +157,13 @@
 	if s.audit != nil {
 		return &control.HistoryReply{Changes: s.audit.From(r.From)}, nil
 	}
-	var last error = twirp.NewError(twirp.Unavailable, "no replica is known")
-	for _, m := range s.config.Current().Value().Replicas {
-		reply, err := s.caller.Peer(m.Address).History(ctx, r)
-		if err == nil {
-			return reply, nil
-		}
-		last = err
+	replicas := s.config.Current().Value().Replicas
+	if len(replicas) == 0 {
+		return nil, twirp.NewError(twirp.Unavailable, "no replica is known")
 	}
-	return nil, last
+	return askEach(ctx, replicas, func(ctx context.Context, m *control.Member) (*control.HistoryReply, error) {
+		return s.caller.Peer(m.Address).History(ctx, r)
+	})
 }
 
 // Status implements control.Operator: it asks every instance for the version
