--- a/pkg/fetcher/fetcher.go
+++ b/pkg/fetcher/fetcher.go
@@ -15,7 +15,7 @@
 	// fetchTimeout bounds one fetch of a configuration.
 	fetchTimeout = 2 * time.Second
 	// hedgeDelay is how long a node may take to answer before the next one is
-	// asked too: longer than a body of 1,400 routes takes over a link of 200
+	// asked too: longer than a body of 1,400 routes, 300 kB, takes over a link of 200
 	// Mbit/s, and a small part of the 2 s in which a version is in force
 	// everywhere.
 	hedgeDelay = 50 * time.Millisecond
@@ -47,8 +47,8 @@
 	options Options
 	wake    chan struct{}
 
-	mu     sync.Mutex
-	claims claims
+	mu      sync.Mutex
+	adverts adverts
 	// highest is the highest version ever heard of, at that time.
 	highest uint64
 	at      time.Time
@@ -69,7 +69,7 @@
 	}
 	now := f.options.Clock.Now()
 	f.mu.Lock()
-	f.claims.add(address, version, now)
+	f.adverts.add(address, version, now)
 	fresh := version > f.highest
 	if fresh {
 		f.highest, f.at = version, now
@@ -84,17 +84,17 @@
 	}
 }
 
-// Behind returns the highest version that another node claims to have and for how
+// Behind returns the highest version that another node says it has and for how
 // long this node has known of it. It is the one in force when none is higher.
 func (f *Fetcher) Behind() (version uint64, age time.Duration) {
 	own, now := f.version(), f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.claims.prune(own, now)
-	if len(f.claims.list) == 0 {
+	f.adverts.prune(own, now)
+	if len(f.adverts.list) == 0 {
 		return own, 0
 	}
-	return f.claims.highest(), now.Sub(f.at)
+	return f.adverts.highest(), now.Sub(f.at)
 }
 
 // Age is the time since a version was first heard of; 0 when it was not, or
@@ -140,7 +140,7 @@
 	}
 }
 
-// catchUp asks nodes until no higher version is claimed than the one in force.
+// catchUp asks nodes until none has a higher version than the one in force.
 func (f *Fetcher) catchUp(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -158,7 +158,7 @@
 			r.retry = nil
 			clear(r.asked)
 		case <-f.wake:
-			// Another node has claimed a version.
+			// Another node has told of a version.
 		}
 	}
 }
--- a/pkg/fetcher/fetcher_test.go
+++ b/pkg/fetcher/fetcher_test.go
@@ -169,9 +169,9 @@
 	})
 }
 
-// TestClaimThatNobodyKeeps tells of a version that no node has: this node is not
+// TestAdvertOfNoVersion tells of a version that no node has: this node is not
 // behind once that is known, and does not ask on.
-func TestClaimThatNobodyKeeps(t *testing.T) {
+func TestAdvertOfNoVersion(t *testing.T) {
 	asked := 0
 	ask := func(context.Context, string, *control.FetchRequest) (*control.Value, error) {
 		asked++
--- a/pkg/fetcher/round.go
+++ b/pkg/fetcher/round.go
@@ -78,15 +78,15 @@
 func (r *round) candidate() (address string, version uint64) {
 	f := r.fetcher
 	f.mu.Lock()
-	list := slices.Clone(f.claims.list)
-	highest := f.claims.highest()
+	list := slices.Clone(f.adverts.list)
+	highest := f.adverts.highest()
 	f.mu.Unlock()
 	for _, m := range f.options.Config.Current().Value().GetReplicas() {
-		list = append(list, claim{address: m.Address, version: highest})
+		list = append(list, advert{address: m.Address, version: highest})
 	}
 	if f.options.Replicas != nil {
 		for _, a := range f.options.Replicas() {
-			list = append(list, claim{address: a, version: highest})
+			list = append(list, advert{address: a, version: highest})
 		}
 	}
 	for _, k := range list {
@@ -111,7 +111,7 @@
 	// The version is 0 when the other node has none above the one in force.
 	f.options.Log.Info("fetch", append(attrs, "version", a.value.Version)...)
 	f.mu.Lock()
-	f.claims.correct(a.address, a.asked, a.value.Version)
+	f.adverts.correct(a.address, a.asked, a.value.Version)
 	f.mu.Unlock()
 	if a.value.Version > own {
 		f.options.Offer(a.value)
