--- a/pkg/gossiper/version_test.go
+++ b/pkg/gossiper/version_test.go
@@ -1,3 +1,7 @@
+//go:build !race
+
+// With the race detector this file takes minutes; CI runs it without.
+
 package gossiper_test
 
 import (
