--- a/pkg/faulter/faulter.go
+++ b/pkg/faulter/faulter.go
@@ -40,4 +40,6 @@
 	Installed Point = "installed"
 	// RecordsCopied is before a replica completes the copy of records.
 	RecordsCopied Point = "records-copied"
+	// FetchAsked is when a node is asked for a configuration that it has.
+	FetchAsked Point = "fetch-asked"
 )
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -7,6 +7,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/pkg/faulter"
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -95,6 +96,7 @@
 	if value.Version <= r.Above {
 		return &control.Value{}, nil
 	}
+	faulter.Reach(faulter.FetchAsked)
 	if r.Whole && value.Brief {
 		return nil, twirp.NewError(twirp.FailedPrecondition, "this instance does not have the whole value")
 	}
