Fetcher: what its review showed

- A node whose fetch failed was not asked again while another one was silent, for up to 2 s (TestFailedFetchWaitsForASilentNode).
- A version that cannot be put into force was fetched again each 0.1 s from all who have it (TestUnusableVersionIsFetchedOn); now once, until a higher one is heard of.
- The time for which a node is behind began anew with each version that was heard of, so that one that is stuck during a storm seemed fresh in log and metric, and had requests wait (TestStuckNodeSeemsToBeFresh).

--- a/pkg/fetcher/fetcher.go
+++ b/pkg/fetcher/fetcher.go
@@ -52,6 +52,10 @@
 	// highest is the highest version ever heard of, at that time.
 	highest uint64
 	at      time.Time
+	// outdated is when the version in force stopped being the highest heard of.
+	outdated time.Time
+	// unusable is the highest version that was fetched and did not come into force.
+	unusable uint64
 	// changed is closed when another version comes into force.
 	changed chan struct{}
 }
@@ -69,6 +73,9 @@
 	}
 	now := f.options.Clock.Now()
 	f.mu.Lock()
+	if f.adverts.prune(own, now); len(f.adverts.list) == 0 {
+		f.outdated = now
+	}
 	f.adverts.add(address, version, now)
 	fresh := version > f.highest
 	if fresh {
@@ -84,8 +91,9 @@
 	}
 }
 
-// Behind returns the highest version that another node says it has and for how
-// long this node has known of it. It is the one in force when none is higher.
+// Behind returns the highest version that another node says it has, and for how
+// long this node has known that the one in force is not the highest. Without a
+// higher one that is the one in force.
 func (f *Fetcher) Behind() (version uint64, age time.Duration) {
 	own, now := f.version(), f.options.Clock.Now()
 	f.mu.Lock()
@@ -94,7 +102,7 @@
 	if len(f.adverts.list) == 0 {
 		return own, 0
 	}
-	return f.adverts.highest(), now.Sub(f.at)
+	return f.adverts.highest(), now.Sub(f.outdated)
 }
 
 // Age is the time since a version was first heard of; 0 when it was not, or
@@ -108,10 +116,13 @@
 	return f.options.Clock.Now().Sub(f.at)
 }
 
-// InForce wakes those that wait for another version.
+// InForce notes that another version has come into force, and wakes those that
+// wait for it.
 func (f *Fetcher) InForce() {
+	now := f.options.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.outdated = now
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/pkg/fetcher/round.go
+++ b/pkg/fetcher/round.go
@@ -67,19 +67,20 @@
 		a := &ask{fetcher: r.fetcher, address: address, version: version, answers: r.answers}
 		go a.run(ctx)
 		r.hedge = clock.After(hedgeDelay)
-	case len(r.running) == 0 && r.retry == nil:
+	case r.retry == nil:
 		r.retry = clock.After(r.pause)
 		r.pause = min(2*r.pause, retryMost)
 	}
 }
 
 // candidate returns a node that has a higher version and was not asked for it:
-// those that were heard first, then the replicas.
+// those that were heard first, then the replicas. A version that could not be put
+// into force is not fetched again.
 func (r *round) candidate() (address string, version uint64) {
 	f := r.fetcher
 	f.mu.Lock()
 	list := slices.Clone(f.adverts.list)
-	highest := f.adverts.highest()
+	highest, unusable := f.adverts.highest(), f.unusable
 	f.mu.Unlock()
 	for _, m := range f.options.Config.Current().Value().GetReplicas() {
 		list = append(list, advert{address: m.Address, version: highest})
@@ -90,7 +91,7 @@
 		}
 	}
 	for _, k := range list {
-		if r.asked[k.address] < k.version && !slices.Contains(r.running, k.address) {
+		if k.version > max(r.asked[k.address], unusable) && !slices.Contains(r.running, k.address) {
 			return k.address, k.version
 		}
 	}
@@ -110,11 +111,17 @@
 	}
 	// The version is 0 when the other node has none above the one in force.
 	f.options.Log.Info("fetch", append(attrs, "version", a.value.Version)...)
-	f.mu.Lock()
-	f.adverts.correct(a.address, a.asked, a.value.Version)
-	f.mu.Unlock()
 	if a.value.Version > own {
 		f.options.Offer(a.value)
+	}
+	now := f.version()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.adverts.correct(a.address, a.asked, a.value.Version)
+	if a.value.Version > now {
+		f.unusable = max(f.unusable, a.value.Version)
+	}
+	if now > own {
 		r.pause = retryFirst
 	}
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -72,8 +72,8 @@
 	Ready func() bool
 	// InContact tells whether a replica was heard of within the bound.
 	InContact func() bool
-	// Behind returns the highest version that another node is known to have, and
-	// for how long that is known; 0 when none is newer than the one in force.
+	// Behind returns the highest version that is known, the one in force at least,
+	// and for how long this node has been behind it.
 	Behind func() (version uint64, age time.Duration)
 	// Changed is closed when another version than the one in force now comes into
 	// force.
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -8,7 +8,7 @@
 		{Name: "primrose_version", Help: "Version of the configuration in force.", Read: func() float64 { return float64(s.config.Current().Version()) }},
 		{Name: "primrose_revision", Help: "Number that the operator gave to it.", Read: func() float64 { return float64(s.config.Current().Revision()) }},
 		{Name: "primrose_version_heard", Help: "Highest version that another instance is known to have, or the one in force.", Read: func() float64 { version, _ := s.fetcher.Behind(); return float64(version) }},
-		{Name: "primrose_behind_seconds", Help: "Time for which a higher version than the one in force has been known of.", Read: func() float64 { _, age := s.fetcher.Behind(); return age.Seconds() }},
+		{Name: "primrose_behind_seconds", Help: "Time for which the version in force has been known not to be the highest.", Read: func() float64 { _, age := s.fetcher.Behind(); return age.Seconds() }},
 		{Name: "primrose_epoch", Help: "Epoch of the set of replicas.", Read: func() float64 { return float64(s.config.Current().Value().GetEpoch()) }},
 		{Name: "primrose_members", Help: "Instances in the gossip table.", Read: func() float64 { return float64(len(s.gossip.Members())) }},
 		{Name: "primrose_replica_heard_seconds", Help: "Age of the last word of a replica.", Read: s.replicaAge},
