--- a/pkg/gossiper/version_test.go
+++ b/pkg/gossiper/version_test.go
@@ -30,8 +30,8 @@
 	// inForceMost is the promise for a confirmed version: it is in force on all
 	// nodes in touch after that time.
 	inForceMost = 2 * time.Second
-	// bodyTime is how long a node's link is taken by a body of 1,400 routes, 500
-	// kB at 200 Mbit/s.
+	// bodyTime is how long a node's link is taken by a body of 500 kB, more than
+	// 1,400 routes have, at 200 Mbit/s.
 	bodyTime = 20 * time.Millisecond
 	// tableTime is how long a node takes to put it in force.
 	tableTime = 20 * time.Millisecond
