--- a/pkg/fetcher/fetcher.go
+++ b/pkg/fetcher/fetcher.go
@@ -95,13 +95,17 @@
 // long this node has known that the one in force is not the highest. Without a
 // higher one that is the one in force.
 func (f *Fetcher) Behind() (version uint64, age time.Duration) {
-	own, now := f.version(), f.options.Clock.Now()
+	own := f.version()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.adverts.prune(own, now)
+	// This runs for each request, and to read the clock takes a system call.
 	if len(f.adverts.list) == 0 {
 		return own, 0
 	}
+	now := f.options.Clock.Now()
+	if f.adverts.prune(own, now); len(f.adverts.list) == 0 {
+		return own, 0
+	}
 	return f.adverts.highest(), now.Sub(f.outdated)
 }
 
