Forwarder: a node without a declaration says so

The text of the 503 said that the node has just started. Since it is also the answer of a node that knows the founding value only, for as long as nothing is declared. No change of behaviour but the text.

--- a/pkg/forwarder/route_filter.go
+++ b/pkg/forwarder/route_filter.go
@@ -25,7 +25,7 @@
 // Serve implements Filter.
 func (r *routeFilter) Serve(x *Exchange, next func(*Exchange)) {
 	if !r.forwarder.deps.Ready() {
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonContact, time.Second, "this node has just started and does not know the configuration yet"))
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonContact, time.Second, "this node knows no declaration yet"))
 		return
 	}
 	route := x.config.Route(x.request.Host, x.request.Method, x.request.URL.Path)
