Forwarder: requests wait for a node that starts

Cause: after a loss of power of all nodes, callers return before the nodes have fetched the configuration (0.2 s) and heard of the first target of each service (up to 0.9 s, a heartbeat). They got 503 and 1 to 2 s to wait; most have one retry, which is spent by then.

Change: within 3 s of the node's start a request waits for both, at most a quarter of its timeout and 1 s, which is the earliest time at which it could have returned. Ruled out: a shorter Retry-After alone, as callers whose first attempt met the closed port have no retry left.

--- a/pkg/forwarder/filters.go
+++ b/pkg/forwarder/filters.go
@@ -12,6 +12,7 @@
 func (f *Forwarder) entryFilters() []Filter {
 	return []Filter{
 		&scrubFilter{f},
+		&readyFilter{f},
 		&versionFilter{f},
 		&routeFilter{f},
 		&keyFilter{f},
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -111,7 +111,9 @@
 
 // Forwarder is the data path of one node.
 type Forwarder struct {
-	deps          Deps
+	deps Deps
+	// startedAt is when the node started.
+	startedAt     time.Time
 	retryBudgets  retrier.ServiceBudgets
 	shedLevels    shedLevels
 	fairShares    fairShares
@@ -124,7 +126,7 @@
 
 // New returns a forwarder with both chains of filters.
 func New(deps Deps) *Forwarder {
-	f := &Forwarder{deps: deps}
+	f := &Forwarder{deps: deps, startedAt: deps.Clock.Now()}
 	f.entry = chain(f.entryFilters())
 	f.hop = chain(f.hopFilters())
 	return f
--- a/pkg/forwarder/route_filter.go
+++ b/pkg/forwarder/route_filter.go
@@ -25,10 +25,6 @@
 
 // Serve implements Filter.
 func (r *routeFilter) Serve(x *Exchange, next func(*Exchange)) {
-	if !r.forwarder.deps.Ready() {
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonContact, time.Second, "this node knows no declaration yet"))
-		return
-	}
 	route := x.config.Route(x.request.Host, x.request.Method, x.request.URL.Path)
 	if route == nil {
 		x.refuse(refuse(http.StatusNotFound, ReasonRoute, 0, "no route for %s %s", x.request.Method, x.request.URL.Path))
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -51,6 +51,7 @@
 		defer func() { x.parent.endCall(s.now()) }()
 	}
 	s.forwarder.retryBudgets.RecordFirstAttempt(x.hop.Service, s.forwarder.deps.Retries())
+	s.awaitTargets(x)
 	tried := map[string]bool{}
 	var lastUnknown *unknownResult
 	for {
@@ -68,6 +69,14 @@
 	}
 }
 
+// awaitTargets waits, on a node that starts, until a target of the service is known.
+func (s *sendFilter) awaitTargets(x *Exchange) {
+	known := func() bool { return len(s.forwarder.deps.Targets(x.hop.Service)) > 0 }
+	if !known() {
+		s.forwarder.awaitStart(x, known)
+	}
+}
+
 func (s *sendFilter) now() time.Time { return s.forwarder.deps.Clock.Now() }
 
 // respond writes the final answer. When an earlier attempt may have run, it does
--- a/pkg/forwarder/version_filter.go
+++ b/pkg/forwarder/version_filter.go
@@ -27,7 +27,7 @@
 // Serve implements Filter.
 func (v *versionFilter) Serve(x *Exchange, next func(*Exchange)) {
 	advertised, age := v.forwarder.deps.Behind()
-	if advertised > x.config.Version() && v.forwarder.deps.Ready() && !v.awaitVersion(x, advertised, min(versionWaitTimeout, maxStaleAge-age)) {
+	if advertised > x.config.Version() && !v.awaitVersion(x, advertised, min(versionWaitTimeout, maxStaleAge-age)) {
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonBehind, behindRetryDelay,
 			"version %d does not allow this request, and a newer one, %d, is not in force at this node yet", x.config.Version(), advertised))
 		return
