Router: no requests to a data centre that has fallen silent

Change: the router notes for each other data centre since when nothing was heard. From four times the mean latency there, at least 0.2 s, only one request a second goes there until one is answered; with no other target known it sends there all the same. Results Expired and Abandoned are told apart from failures and successes. Logged as silent and heard_again.

--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -208,11 +208,14 @@
 	request := a.request(ctx, x, delegated)
 	x.attemptsSent++
 	response, sent, err := f.roundTrip(ctx, request)
+	took := a.filter.now().Sub(a.startedAt)
 	if err != nil {
 		a.timer.Stop()
 		a.handleError(x, sent, err, context.Cause(ctx))
+		f.deps.Router.RecordNoAnswer(a.target.Instance, a.routerResult, took)
 		return
 	}
+	f.deps.Router.RecordAnswer(a.target.Instance, took)
 	// The target's node itself bounds the time for a short answer's body; this
 	// timer covers a node that stops responding.
 	a.timer.Reset(x.timeLeft(a.filter.now()) + x.allowance() + 2*bodyGrace)
@@ -278,8 +281,11 @@
 func (a *attempt) handleError(x *Exchange, sent bool, err, cause error) {
 	a.routerResult = router.Failed
 	deadlinePassed := errors.Is(cause, errDeadlinePassed)
-	if x.Context().Err() != nil {
-		a.routerResult = router.Succeeded
+	switch {
+	case x.Context().Err() != nil:
+		a.routerResult = router.Abandoned
+	case deadlinePassed:
+		a.routerResult = router.Expired
 	}
 	switch {
 	case !deadlinePassed && x.Context().Err() != nil && sent:
--- a/pkg/router/cost_test.go
+++ b/pkg/router/cost_test.go
@@ -27,6 +27,7 @@
 
 func choose(r *router.Router, members []*control.Entry) {
 	e := r.Choose(members, nil)
+	r.RecordAnswer(e.Instance, time.Millisecond)
 	r.RecordResult(e.Instance, router.Succeeded, time.Millisecond)
 }
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -54,19 +54,26 @@
 // Results of an attempt.
 const (
 	// Succeeded means that the target answered, with a status that stands neither
-	// for overload nor for a failure, or that the caller disconnected.
+	// for overload nor for a failure.
 	Succeeded Result = iota
 	// Shed means that the target or its node rejected the request, as a rule for
 	// lack of capacity.
 	Shed
-	// Failed means that there was no answer, or one with a failure status.
+	// Failed means that the connection broke, or that the answer had a failure
+	// status.
 	Failed
+	// Expired means that the deadline passed without an answer.
+	Expired
+	// Abandoned means that the caller disconnected before there was an answer.
+	Abandoned
 	// Unreachable means that the target's node could not be reached.
 	Unreachable
 )
 
 // targetStats holds what this node has observed of one target.
 type targetStats struct {
+	// silence is that of the target's data centre; nil for the node's own.
+	silence  *silence
 	inflight int
 	// time is the mean latency of successful requests, in seconds.
 	time float64
@@ -101,11 +108,13 @@
 	stats map[string]*targetStats
 	// services holds the candidates by service.
 	services map[string]*candidates
+	// silences holds the silence of the other data centres by name.
+	silences map[string]*silence
 }
 
 // New returns a router for the node of an instance in a data centre.
 func New(clock timekeeper.Clock, instance, centre string, random *rand.Rand) *Router {
-	return &Router{clock: clock, instance: instance, centre: centre, random: random, stats: map[string]*targetStats{}, services: map[string]*candidates{}}
+	return &Router{clock: clock, instance: instance, centre: centre, random: random, stats: map[string]*targetStats{}, services: map[string]*candidates{}, silences: map[string]*silence{}}
 }
 
 // candidates are the members of a service that this node uses, in its own data
@@ -154,26 +163,62 @@
 	for _, excluded := range []map[string]bool{tried, nil} {
 		local := r.pick(c.local, excluded, now)
 		if local != nil && r.load(local, now) < fullLoad {
-			return r.begin(local)
+			return r.begin(local, now)
 		}
 		remote := r.pick(c.remote, excluded, now)
 		if local != nil && (remote == nil || r.load(remote, now) > r.load(local, now)-remoteLoadMargin) {
-			return r.begin(local)
+			return r.begin(local, now)
 		}
 		if remote != nil {
-			return r.begin(remote)
+			return r.begin(remote, now)
 		}
 	}
 	// No candidate is usable. Trying any member is better than failing.
-	return r.begin(members[r.random.IntN(len(members))])
+	return r.begin(r.fallback(members, now), now)
+}
+
+// fallback returns a random member, if possible one outside silent data centres.
+func (r *Router) fallback(members []*control.Entry, now time.Time) *control.Entry {
+	first := r.random.IntN(len(members))
+	for i := range members {
+		if e := members[(first+i)%len(members)]; r.targetStats(e).allowedBySilence(now) {
+			return e
+		}
+	}
+	return members[first]
+}
+
+// SilentCentres returns the silent data centres, with the time since which this node
+// has heard nothing from each.
+func (r *Router) SilentCentres() map[string]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	silent := map[string]time.Time{}
+	for centre, s := range r.silences {
+		if s.isSilent(now) {
+			silent[centre] = s.unheardSince
+		}
+	}
+	return silent
 }
 
 // begin counts a request in flight to the target and returns the target's entry.
-func (r *Router) begin(e *control.Entry) *control.Entry {
-	r.targetStats(e.Instance).inflight++
+func (r *Router) begin(e *control.Entry, now time.Time) *control.Entry {
+	s := r.targetStats(e)
+	s.inflight++
+	if s.silence != nil {
+		s.silence.recordSend(now)
+	}
 	return e
 }
 
+// allowedBySilence reports whether the silence of its data centre allows a request
+// to the target.
+func (s *targetStats) allowedBySilence(now time.Time) bool {
+	return s.silence == nil || s.silence.allows(now)
+}
+
 // subset selects members by rendezvous hashing: it keeps those with the highest
 // hash of this node's instance and theirs.
 func (r *Router) subset(members []*control.Entry) []*control.Entry {
@@ -189,9 +234,13 @@
 }
 
 // usable reports whether requests may go to the target. After an ejection ends,
-// only one request at a time may go there until one succeeds.
+// only one request at a time may go there until one succeeds. To a silent data
+// centre only probes may go.
 func (r *Router) usable(e *control.Entry, now time.Time) bool {
-	s := r.targetStats(e.Instance)
+	s := r.targetStats(e)
+	if !s.allowedBySilence(now) {
+		return false
+	}
 	if s.ejectedUntil.IsZero() || !now.Before(s.ejectedUntil) {
 		return s.ejectedUntil.IsZero() || s.inflight == 0
 	}
@@ -224,7 +273,7 @@
 // for a short time after it shed a request, during its warm-up, and while it is
 // suspected to be down.
 func (r *Router) score(e *control.Entry, now time.Time) float64 {
-	s := r.targetStats(e.Instance)
+	s := r.targetStats(e)
 	share := warmupShare + (1-warmupShare)*math.Min(1, now.Sub(s.warmupStart).Seconds()/warmupTime.Seconds())
 	score := (float64(s.inflight) + 1) * (s.time + 0.001) / share
 	if now.Sub(s.lastShed) < minEjection/10 {
@@ -240,7 +289,7 @@
 // as a fraction of its limit. A target that recently shed a request counts as
 // fully loaded, one without a recent report as idle.
 func (r *Router) load(e *control.Entry, now time.Time) float64 {
-	s := r.targetStats(e.Instance)
+	s := r.targetStats(e)
 	load := 0.0
 	if now.Sub(s.loadReported) < loadTTL {
 		load = s.load
@@ -256,15 +305,49 @@
 func (r *Router) RecordLoad(instance string, load float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.targetStats(instance)
-	s.load, s.loadReported = load, r.clock.Now()
+	if s, ok := r.stats[instance]; ok {
+		s.load, s.loadReported = load, r.clock.Now()
+	}
 }
 
-func (r *Router) targetStats(instance string) *targetStats {
-	s, ok := r.stats[instance]
+// RecordAnswer records that the answer to an attempt at a target that Choose returned
+// has begun.
+func (r *Router) RecordAnswer(instance string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.stats[instance]; ok && s.silence != nil {
+		s.silence.recordAnswer(r.clock.Now(), took)
+	}
+}
+
+// RecordNoAnswer records that an attempt at a target that Choose returned ended
+// without an answer, and how.
+func (r *Router) RecordNoAnswer(instance string, result Result, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.stats[instance]; ok && s.silence != nil {
+		s.silence.recordNoAnswer(r.clock.Now(), result, took)
+	}
+}
+
+func (r *Router) targetStats(e *control.Entry) *targetStats {
+	s, ok := r.stats[e.Instance]
 	if !ok {
-		s = &targetStats{warmupStart: r.clock.Now()}
-		r.stats[instance] = s
+		s = &targetStats{warmupStart: r.clock.Now(), silence: r.silence(e.Centre)}
+		r.stats[e.Instance] = s
+	}
+	return s
+}
+
+// silence returns the silence of a data centre; nil for the node's own.
+func (r *Router) silence(centre string) *silence {
+	if centre == r.centre {
+		return nil
+	}
+	s, ok := r.silences[centre]
+	if !ok {
+		s = &silence{}
+		r.silences[centre] = s
 	}
 	return s
 }
@@ -273,7 +356,10 @@
 func (r *Router) RecordResult(instance string, result Result, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.targetStats(instance)
+	s, ok := r.stats[instance]
+	if !ok {
+		return
+	}
 	s.inflight--
 	now := r.clock.Now()
 	switch result {
@@ -284,12 +370,26 @@
 		s.lastShed = now
 	case Failed:
 		s.recordFailure(now)
+	case Expired:
+		if !s.inSilentCentre(now) {
+			s.recordFailure(now)
+		}
+	case Abandoned:
+		// The target may be slow, or the caller may have left for another reason.
 	case Unreachable:
-		s.failures = max(s.failures, ejectAfter)
-		s.recordFailure(now)
+		if !s.inSilentCentre(now) {
+			s.failures = max(s.failures, ejectAfter)
+			s.recordFailure(now)
+		}
 	}
 }
 
+// inSilentCentre reports whether the whole data centre of the target is silent, so
+// that a missing answer says nothing about the target.
+func (s *targetStats) inSilentCentre(now time.Time) bool {
+	return s.silence != nil && s.silence.isSilent(now)
+}
+
 // recordSuccess ends an ejection and starts the warm-up after it.
 func (s *targetStats) recordSuccess(now time.Time, took time.Duration) {
 	s.failures = 0
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -87,6 +87,7 @@
 				continue
 			}
 			r.RecordLoad(a.instance, targets[a.instance].load(now))
+			r.RecordAnswer(a.instance, a.took)
 			r.RecordResult(a.instance, router.Succeeded, a.took)
 		}
 		answers = outstanding
@@ -120,6 +121,7 @@
 		e := r.Choose(members, nil)
 		qt.Assert(t, e.Instance, qt.Equals, "near-1")
 		r.RecordLoad(e.Instance, 0.6)
+		r.RecordAnswer(e.Instance, 20*time.Millisecond)
 		r.RecordResult(e.Instance, router.Succeeded, 20*time.Millisecond)
 	}
 }
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -30,6 +30,7 @@
 		s.tokens,
 		s.announcer,
 		s.traffic,
+		&silenceLog{server: s},
 	}
 	if s.folder != nil {
 		list = append(list, &joiner{s}, &acceptedReader{server: s}, &recordCopier{server: s}, &auditWriter{s}, &abstentionEnder{s})
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -98,6 +98,7 @@
 	tokens       *limiter.TokenClient
 	announcer    *announcer.Announcer
 	admitter     *admitter.Admitter
+	router       *router.Router
 	forwarder    *forwarder.Forwarder
 	connector    *connector.Connector
 
@@ -248,10 +249,11 @@
 		v := s.config.Current().Value()
 		return v.Epoch, v.Replicas
 	}, randomID)
+	s.router = router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom())
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
 		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, CountEvent: s.countEvent, Observer: s.measurer,
-		Router:        router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom()),
+		Router:        s.router,
 		PeerTransport: forwarder.NewPeerTransport(s.sealer.Client()),
 		PeerConnector: s.plainPeerConnector(),
 		PeerScheme:    s.peerScheme(), Dialect: s.iface.Dialect,
