--- a/pkg/router/silence.go
+++ b/pkg/router/silence.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// minSilence is the shortest time without an answer after which a data centre
+	// MinSilence is the shortest time without an answer after which a data centre
 	// counts as silent: several round trips, and a retransmission.
-	minSilence = 200 * time.Millisecond
+	MinSilence = 200 * time.Millisecond
 	// silenceFactor is the same as a multiple of the mean latency of requests to
 	// the data centre.
 	silenceFactor = 4
@@ -60,19 +60,19 @@
 // recordNoAnswer ends a request without an answer. A broken or quickly refused
 // connection shows that the data centre is not silent.
 func (s *silence) recordNoAnswer(now time.Time, result Result, took time.Duration) {
-	if result == Failed || result == Unreachable && took < minSilence {
+	if result == Failed || result == Unreachable && took < MinSilence {
 		s.recordAnswer(now, took)
 		return
 	}
 	s.inflight--
-	if s.inflight == 0 && took < minSilence {
+	if s.inflight == 0 && took < MinSilence {
 		s.unheardSince = time.Time{}
 	}
 }
 
 // isSilent reports whether the data centre has not answered for too long.
 func (s *silence) isSilent(now time.Time) bool {
-	return s.answers >= minAnswers && !s.unheardSince.IsZero() && now.Sub(s.unheardSince) >= max(minSilence, silenceFactor*s.latency)
+	return s.answers >= minAnswers && !s.unheardSince.IsZero() && now.Sub(s.unheardSince) >= max(MinSilence, silenceFactor*s.latency)
 }
 
 // allows reports whether a request may go to the data centre now: always unless it
