--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -158,9 +157,7 @@
 	cancel    context.CancelFunc
 	// timer bounds the time until the answer has begun and, if the caller stated a
 	// timeout, until it has ended.
-	timer *time.Timer
-	// answered is set once the answer has begun.
-	answered     atomic.Bool
+	timer        *time.Timer
 	routerResult router.Result
 }
 
@@ -207,7 +204,6 @@
 	ctx, cancel := context.WithCancelCause(x.Context())
 	a.cancel = func() { cancel(context.Canceled) }
 	a.timer = a.startTimer(x, cancel)
-	a.watchSilence(ctx, x, cancel)
 	delegated := x.budget.Delegate()
 	request := a.request(ctx, x, delegated)
 	x.attemptsSent++
@@ -219,7 +215,6 @@
 		f.deps.Router.RecordNoAnswer(a.target.Instance, a.routerResult, took)
 		return
 	}
-	a.answered.Store(true)
 	f.deps.Router.RecordAnswer(a.target.Instance, took)
 	// The target's node itself bounds the time for a short answer's body; this
 	// timer covers a node that stops responding.
@@ -255,34 +250,6 @@
 	return time.AfterFunc(x.timeLeft(a.startedAt)+x.allowance(), func() { cancel(errDeadlinePassed) })
 }
 
-// errSilent is the cancellation cause of an attempt whose target is in a data centre
-// that fell silent.
-var errSilent = errors.New("data centre is silent")
-
-// silenceCheckInterval is the time between two checks whether the data centre of a
-// target has fallen silent.
-const silenceCheckInterval = 100 * time.Millisecond
-
-// watchSilence ends an attempt that may be repeated elsewhere once the target's data
-// centre, if it is not this node's own, has fallen silent.
-func (a *attempt) watchSilence(ctx context.Context, x *Exchange, cancel context.CancelCauseFunc) {
-	r := a.filter.forwarder.deps.Router
-	if !x.hop.Idempotent || x.streamed || r.IsLocal(a.target) {
-		return
-	}
-	var check func()
-	check = func() {
-		switch {
-		case a.answered.Load(), ctx.Err() != nil:
-		case r.Silent(a.target):
-			cancel(errSilent)
-		default:
-			time.AfterFunc(silenceCheckInterval, check)
-		}
-	}
-	time.AfterFunc(router.MinSilence, check)
-}
-
 func (a *attempt) request(ctx context.Context, x *Exchange, retries uint32) *http.Request {
 	hop := proto.Clone(x.hop).(*control.Hop)
 	hop.Timeout = x.timeLeft(a.startedAt).Microseconds()
@@ -333,7 +300,7 @@
 	case deadlinePassed:
 		a.result = &unknownResult{refusal: lostRefusal(http.StatusGatewayTimeout, "the deadline passed before the answer came")}
 	default:
-		if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(cause, errSilent) {
+		if errors.Is(err, syscall.ETIMEDOUT) {
 			a.routerResult = router.Unreachable
 		}
 		a.result = &unknownResult{refusal: lostRefusal(http.StatusBadGateway, "the connection to instance %s broke before the answer came", a.target.Instance)}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -188,17 +188,6 @@
 	return members[first]
 }
 
-// IsLocal reports whether the target is in the node's own data centre.
-func (r *Router) IsLocal(e *control.Entry) bool { return e.Centre == r.centre }
-
-// Silent reports whether the target's data centre is not the node's own and has
-// not answered for too long.
-func (r *Router) Silent(e *control.Entry) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.targetStats(e).inSilentCentre(r.clock.Now())
-}
-
 // SilentCentres returns the silent data centres, with the time since which this node
 // has heard nothing from each.
 func (r *Router) SilentCentres() map[string]time.Time {
--- a/pkg/router/silence.go
+++ b/pkg/router/silence.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// MinSilence is the shortest time without an answer after which a data centre
+	// minSilence is the shortest time without an answer after which a data centre
 	// counts as silent: several round trips, and a retransmission.
-	MinSilence = 200 * time.Millisecond
+	minSilence = 200 * time.Millisecond
 	// silenceFactor is the same as a multiple of the mean latency of requests to
 	// the data centre.
 	silenceFactor = 4
@@ -60,19 +60,19 @@
 // recordNoAnswer ends a request without an answer. A broken or quickly refused
 // connection shows that the data centre is not silent.
 func (s *silence) recordNoAnswer(now time.Time, result Result, took time.Duration) {
-	if result == Failed || result == Unreachable && took < MinSilence {
+	if result == Failed || result == Unreachable && took < minSilence {
 		s.recordAnswer(now, took)
 		return
 	}
 	s.inflight--
-	if s.inflight == 0 && took < MinSilence {
+	if s.inflight == 0 && took < minSilence {
 		s.unheardSince = time.Time{}
 	}
 }
 
 // isSilent reports whether the data centre has not answered for too long.
 func (s *silence) isSilent(now time.Time) bool {
-	return s.answers >= minAnswers && !s.unheardSince.IsZero() && now.Sub(s.unheardSince) >= max(MinSilence, silenceFactor*s.latency)
+	return s.answers >= minAnswers && !s.unheardSince.IsZero() && now.Sub(s.unheardSince) >= max(minSilence, silenceFactor*s.latency)
 }
 
 // allows reports whether a request may go to the data centre now: always unless it
