Router: requests in flight at an ejection don't prolong it

Cause: each failure after an ejection doubled it, also those of requests that had been sent before: twenty in flight to a target that breaks off made 30 s of one second.

Test: TestFailuresInFlightEjectOnce, red before.

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -369,17 +369,17 @@
 		s.failures = 0
 		s.lastShed = now
 	case Failed:
-		s.recordFailure(now)
+		s.recordFailure(now, took)
 	case Expired:
 		if !s.inSilentCentre(now) {
-			s.recordFailure(now)
+			s.recordFailure(now, took)
 		}
 	case Abandoned:
 		// The target may be slow, or the caller may have left for another reason.
 	case Unreachable:
 		if !s.inSilentCentre(now) {
 			s.failures = max(s.failures, ejectAfter)
-			s.recordFailure(now)
+			s.recordFailure(now, took)
 		}
 	}
 }
@@ -401,12 +401,16 @@
 
 // recordFailure ejects the target after enough failures, and after any failure
 // that follows an ejection. Each further ejection before a success is twice as long
-// as the one before, at most maxEjection.
-func (s *targetStats) recordFailure(now time.Time) {
+// as the one before, at most maxEjection. Requests that were already in flight when
+// the target was ejected don't prolong the ejection.
+func (s *targetStats) recordFailure(now time.Time, took time.Duration) {
 	s.failures++
 	if s.failures < ejectAfter && s.ejectedUntil.IsZero() {
 		return
 	}
+	if !s.ejectedUntil.IsZero() && now.Add(-took).Before(s.ejectedUntil.Add(-s.ejection)) {
+		return
+	}
 	s.ejection = min(max(2*s.ejection, minEjection), maxEjection)
 	s.ejectedUntil = now.Add(s.ejection)
 }
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -125,3 +125,26 @@
 		r.RecordResult(e.Instance, router.Succeeded, 20*time.Millisecond)
 	}
 }
+
+// TestFailuresInFlightEjectOnce fails twenty requests that a target, the only one,
+// got before it was ejected. The ejection must end after a second, when the target
+// serves again.
+func TestFailuresInFlightEjectOnce(t *testing.T) {
+	clock := &timekeeper.Manual{}
+	r := router.New(clock, "near-0", "near", rand.New(rand.NewPCG(1, 1)))
+	members := []*control.Entry{
+		{Instance: "near-1", Centre: "near", Slots: 20, State: control.State_STATE_ALIVE},
+		{Instance: "far-1", Centre: "far", Slots: 20, State: control.State_STATE_ALIVE},
+	}
+	for range 20 {
+		qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "near-1")
+		clock.Advance(time.Millisecond)
+	}
+	for range 20 {
+		r.RecordResult("near-1", router.Failed, 500*time.Millisecond)
+		clock.Advance(time.Millisecond)
+	}
+	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "far-1")
+	clock.Advance(time.Second)
+	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "near-1")
+}
