Router: a slow target is replaced by one in another data centre

Change: a target whose mean latency exceeds three times its own baseline and 20 ms is replaced, except for a probe each 0.1 s, by one elsewhere that has room and half its latency or less. A request that ends without an answer counts as one that took at least so long.

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -35,8 +35,6 @@
 	// warmupShare is the fraction of its full share that such a target starts
 	// with.
 	warmupShare = 0.1
-	// latencyWeight is the weight of the newest request in the mean latency.
-	latencyWeight = 0.2
 	// fullLoad is the fraction of its limit at which a target counts as full:
 	// since arrivals are bursty, requests begin to wait there.
 	fullLoad = 0.85
@@ -75,8 +73,9 @@
 	// silence is that of the target's data centre; nil for the node's own.
 	silence  *silence
 	inflight int
-	// time is the mean latency of successful requests, in seconds.
-	time float64
+	latency  latency
+	// chosenAt is when the last request was sent to the target.
+	chosenAt time.Time
 	// failures counts consecutive failures.
 	failures int
 	// ejectedUntil is zero unless the target is ejected. It stays set after that
@@ -149,7 +148,7 @@
 
 // Choose returns the entry of a target among the members of a service, or nil if
 // there are no members. It prefers targets that were not tried for this request
-// and, unless the targets there are full, the node's own data centre. The caller
+// and, unless the targets there are full or slow, the node's own data centre. The caller
 // must not change the list afterwards, as the router recognizes a new list by its
 // address and length.
 func (r *Router) Choose(members []*control.Entry, tried map[string]bool) *control.Entry {
@@ -162,11 +161,11 @@
 	c := r.candidates(members)
 	for _, excluded := range []map[string]bool{tried, nil} {
 		local := r.pick(c.local, excluded, now)
-		if local != nil && r.load(local, now) < fullLoad {
+		if local != nil && r.load(local, now) < fullLoad && !r.isSlow(local, now) {
 			return r.begin(local, now)
 		}
 		remote := r.pick(c.remote, excluded, now)
-		if local != nil && (remote == nil || r.load(remote, now) > r.load(local, now)-remoteLoadMargin) {
+		if local != nil && (remote == nil || !r.replaces(remote, local, now)) {
 			return r.begin(local, now)
 		}
 		if remote != nil {
@@ -177,6 +176,21 @@
 	return r.begin(r.fallback(members, now), now)
 }
 
+// isSlow reports whether a target is slow and has been probed recently.
+func (r *Router) isSlow(e *control.Entry, now time.Time) bool {
+	s := r.targetStats(e)
+	return s.latency.isSlow() && now.Sub(s.chosenAt) < slowProbeInterval
+}
+
+// replaces reports whether a target in another data centre is to be used in place of
+// a full or slow one in the own.
+func (r *Router) replaces(remote, local *control.Entry, now time.Time) bool {
+	if r.isSlow(local, now) && r.load(remote, now) < fullLoad && r.targetStats(remote).latency.replaces(&r.targetStats(local).latency) {
+		return true
+	}
+	return r.load(local, now) >= fullLoad && r.load(remote, now) <= r.load(local, now)-remoteLoadMargin
+}
+
 // fallback returns a random member, if possible one outside silent data centres.
 func (r *Router) fallback(members []*control.Entry, now time.Time) *control.Entry {
 	first := r.random.IntN(len(members))
@@ -207,6 +221,7 @@
 func (r *Router) begin(e *control.Entry, now time.Time) *control.Entry {
 	s := r.targetStats(e)
 	s.inflight++
+	s.chosenAt = now
 	if s.silence != nil {
 		s.silence.recordSend(now)
 	}
@@ -275,7 +290,7 @@
 func (r *Router) score(e *control.Entry, now time.Time) float64 {
 	s := r.targetStats(e)
 	share := warmupShare + (1-warmupShare)*math.Min(1, now.Sub(s.warmupStart).Seconds()/warmupTime.Seconds())
-	score := (float64(s.inflight) + 1) * (s.time + 0.001) / share
+	score := (float64(s.inflight) + 1) * (s.latency.mean + 0.001) / share
 	if now.Sub(s.lastShed) < minEjection/10 {
 		score *= 4
 	}
@@ -371,11 +386,12 @@
 	case Failed:
 		s.recordFailure(now, took)
 	case Expired:
+		s.latency.recordNoAnswer(took)
 		if !s.inSilentCentre(now) {
 			s.recordFailure(now, took)
 		}
 	case Abandoned:
-		// The target may be slow, or the caller may have left for another reason.
+		s.latency.recordNoAnswer(took)
 	case Unreachable:
 		if !s.inSilentCentre(now) {
 			s.failures = max(s.failures, ejectAfter)
@@ -393,7 +409,7 @@
 // recordSuccess ends an ejection and starts the warm-up after it.
 func (s *targetStats) recordSuccess(now time.Time, took time.Duration) {
 	s.failures = 0
-	s.time += latencyWeight * (took.Seconds() - s.time)
+	s.latency.recordAnswer(took)
 	if !s.ejectedUntil.IsZero() {
 		s.ejectedUntil, s.ejection, s.warmupStart = time.Time{}, 0, now
 	}
