--- a/pkg/limiter/holder.go
+++ b/pkg/limiter/holder.go
@@ -55,7 +55,6 @@
 	centre     string
 	session    uint64
 	log        *slog.Logger
-	startedAt  time.Time
 
 	mu sync.Mutex
 	// leases is, by shard, when the lease of this instance expires.
@@ -90,7 +89,7 @@
 // process.
 func NewHolder(clock timekeeper.Clock, config *enforcer.Enforcer, peerClient PeerClient, instance, centre string, session uint64, log *slog.Logger) *Holder {
 	return &Holder{
-		clock: clock, config: config, peerClient: peerClient, instance: instance, centre: centre, session: session, log: log, startedAt: clock.Now(),
+		clock: clock, config: config, peerClient: peerClient, instance: instance, centre: centre, session: session, log: log,
 		// Batch ids of an earlier run must not recur in this one.
 		nextBatchID: session << batchBits,
 		leases:      map[int]time.Time{}, retryAfter: map[int]time.Time{}, voteFreeSince: map[int]time.Time{}, opensAt: map[int]time.Time{}, confirmed: map[int]bool{}, deputies: map[int]map[string]*deputyRecord{}, deputy: newDeputy(clock, config, peerClient, instance, centre, session, log), leasedVersions: map[int]uint64{}, buckets: map[string]*bucket{}, knownVersions: map[string]uint64{},
@@ -185,11 +184,7 @@
 			return &control.TokensReply{Absent: true}
 		}
 		h.nextBatchID++
-		reply := h.deputy.tokens(now, c, r, h.nextBatchID)
-		if reply.Absent && reply.Wait == 0 {
-			reply.Wait = uint32(electionWait(now.Sub(h.startedAt)).Milliseconds())
-		}
-		return reply
+		return h.deputy.tokens(now, c, r, h.nextBatchID)
 	}
 	if closedFor := h.closedFor(now, ShardOf(r.Team), c.LimitDomain(h.centre) == ""); closedFor > 0 {
 		// The lease has just begun: the team is not over its rate, its bucket is
@@ -209,11 +204,6 @@
 		Count: granted, Term: uint32(tokenTTL.Milliseconds()), Batch: h.nextBatchID,
 		Holder: h.instance, Version: h.leasedVersions[ShardOf(r.Team)],
 	}
-	if granted == 0 && r.Count > 0 && now.Sub(h.opensAt[ShardOf(r.Team)]) < bucketFillTime {
-		// The team is not over its rate, its bucket is only not filled yet.
-		reply.Absent, reply.Wait = true, uint32(baseRetryDelay.Milliseconds())
-		return reply
-	}
 	if granted == 0 {
 		reply.Wait = uint32(b.retryDelay().Milliseconds())
 		reply.Elsewhere = r.Count > 0 && !r.Loan && b.deputiesActive(now)
--- a/pkg/limiter/refill.go
+++ b/pkg/limiter/refill.go
@@ -27,8 +27,6 @@
 	wait time.Duration
 	// waitAnnounced means that a witness announced the wait.
 	waitAnnounced bool
-	// reached means that it was the holder.
-	reached bool
 }
 
 // Error implements error.
@@ -49,7 +47,7 @@
 	case err == nil:
 		wait = time.Duration(reply.Wait) * time.Millisecond
 	case errors.As(err, &noHolder):
-		wait, r.waitAnnounced, unreachable = noHolder.wait, noHolder.waitAnnounced, !noHolder.reached
+		wait, r.waitAnnounced = noHolder.wait, noHolder.waitAnnounced
 	}
 	for _, centre := range c.holders.OtherCentres(r.team) {
 		borrowed, err := r.requestFrom(ctx, centre)
@@ -82,7 +80,7 @@
 	}
 	if reply.Absent {
 		if reply.Wait > 0 {
-			return nil, &noHolderError{wait: time.Duration(reply.Wait) * time.Millisecond, waitAnnounced: true, reached: reply.Holder != ""}
+			return nil, &noHolderError{wait: time.Duration(reply.Wait) * time.Millisecond, waitAnnounced: true}
 		}
 		return nil, &noHolderError{wait: tokenTTL}
 	}
@@ -138,10 +136,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := r.cache
-	t.refilling, t.holderUnreachable = false, false
+	t.refilling, t.holderUnreachable, t.postponedSince = false, false, time.Time{}
 	now := c.clock.Now()
 	for len(t.waiting) > 0 && t.take(now) {
-		t.waiting[0].result <- nil
+		t.waiting[0] <- nil
 		t.waiting = t.waiting[1:]
 	}
 	if len(t.waiting) > 0 {
@@ -150,8 +148,8 @@
 }
 
 // reject ends a refill that got no tokens: it postpones the waiting requests if a
-// witness announced a wait within maxPostponement. Otherwise it rejects them or, if no
-// holder was reached, admits as many as the reserve allows.
+// witness announced a wait that maxPostponement allows. Otherwise it rejects them
+// or, if no holder was reached, admits as many as the reserve allows.
 func (c *TokenClient) reject(r *refill, wait time.Duration, unreachable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -161,11 +159,14 @@
 	if r.waitAnnounced && c.postpone(r, now) {
 		return
 	}
-	t.refilling = false
+	t.refilling, t.postponedSince = false, time.Time{}
 	delay := emptyRetryDelay
 	if unreachable {
 		delay = unreachableRetryDelay
 	}
 	t.retryAt = now.Add(min(wait, delay))
-	c.rejectWaiting(r.team, t, len(t.waiting), now)
+	for _, result := range t.waiting {
+		result <- c.reserveOrReject(r.team, t, now)
+	}
+	t.waiting = nil
 }
--- a/pkg/limiter/token_cache.go
+++ b/pkg/limiter/token_cache.go
@@ -23,7 +23,7 @@
 	// reports are, by data centre, those to send with the next request there.
 	reports map[string][]*control.Spent
 	// waiting are the results of the requests that wait for a refill, in order.
-	waiting   []tokenWaiter
+	waiting   []chan error
 	refilling bool
 	// requestRate is the moving average of the requests per second; arrivals
 	// counts the requests since countedSince.
@@ -38,10 +38,7 @@
 	localReserve reserve
 	// holderUnreachable means that the last refill reached no holder.
 	holderUnreachable bool
-}
-
-// tokenWaiter is a request that waits for a refill.
-type tokenWaiter struct {
-	result chan error
-	since  time.Time
+	// postponedSince is when requests began to wait for a holder or deputy that
+	// has announced when it will grant tokens; zero if none wait.
+	postponedSince time.Time
 }
--- a/pkg/limiter/token_client.go
+++ b/pkg/limiter/token_client.go
@@ -150,7 +150,7 @@
 		return err
 	}
 	result := make(chan error, 1)
-	t.waiting = append(t.waiting, tokenWaiter{result: result, since: now})
+	t.waiting = append(t.waiting, result)
 	c.startRefill(ctx, team, t)
 	c.mu.Unlock()
 	select {
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -83,7 +83,7 @@
 // RequestTokens implements limiter.Holders. It asks the witnesses in the order of
 // rankWitnesses until one gives a final answer. Otherwise it returns the last
 // answer of a witness that had no tokens left. Without one, the answer is Absent; it
-// carries the wait that a witness announced, if possible the holder.
+// carries the wait that a holder asked for if its lease has just begun.
 func (d *directory) RequestTokens(ctx context.Context, centre string, r *control.TokensRequest) (*control.TokensReply, error) {
 	c := d.config.Current()
 	if centre == "" {
@@ -107,7 +107,7 @@
 		if err == nil && !reply.Absent {
 			empty = reply
 		}
-		if err == nil && reply.Wait > 0 && absent.Holder == "" {
+		if err == nil && reply.Wait > 0 {
 			absent = reply
 		}
 		if err != nil {
