Limiter: a deputy's share is that of one of all witnesses

Cause: a holder withholds the share of each deputy that it doesn't hear, for up to 6 s, since the deputy may be granting it. In the limiter's own model a frozen deputy costs 53 of 600 requests at 0.6 of the rate.

Change: 1/n in place of 1/(n-1). The shares of all deputies still add up to less than the rate, so no limit is in danger that was not. Price: while a holder is lost, until another has the lease, deputies grant (n-1)/n of the rate. Ruled out: a shorter grant, as a deputy that is cut off with its callers serves by it.

Test: TestFrozenDeputyCostsItsShareOnly, red before (547 of 600).

--- a/pkg/limiter/deputy_test.go
+++ b/pkg/limiter/deputy_test.go
@@ -452,6 +452,37 @@
 	qt.Assert(t, admitted >= 6*44, qt.IsTrue, qt.Commentf("%d of %d", admitted, 6*rounds))
 }
 
+// TestFrozenDeputyCostsItsShareOnly freezes a witness that is not the holder while a
+// team sends 60 requests per second at a rate of 100. The holder withholds the share
+// of one of three witnesses, a third of the rate, so that it serves all of them.
+func TestFrozenDeputyCostsItsShareOnly(t *testing.T) {
+	synctest.Test(t, testFrozenDeputyCostsItsShareOnly)
+}
+
+func testFrozenDeputyCostsItsShareOnly(t *testing.T) {
+	f := newDeputyFleet(1, Allocation{Rate: 100, Burst: 40}, 3, 0)
+	network := &fleetHolders{f}
+	var nodes []*TokenClient
+	for i := range 6 {
+		nodes = append(nodes, NewTokenClient(f.clock, network, ByDemand{}, fmt.Sprint("node", i), "", func() uint64 { return 1 }, network))
+	}
+	deputy := slices.IndexFunc(f.witnesses, func(w *fleetWitness) bool { return !w.holder.holdsShard(ShardOf(sharedTeam)) })
+	admitted, offered := 0, 0
+	for round := range 100 {
+		if round == 30 {
+			f.witnesses[deputy].frozen = true
+		}
+		f.advance(100 * time.Millisecond)
+		for _, n := range nodes {
+			offered++
+			if n.Acquire(context.Background(), sharedTeam) == nil {
+				admitted++
+			}
+		}
+	}
+	qt.Assert(t, admitted, qt.Equals, offered)
+}
+
 // TestIsolatedDeputyServesItsNodes partitions one witness from all others. It must
 // serve the nodes that reach only this witness with its share of the rate.
 func TestIsolatedDeputyServesItsNodes(t *testing.T) {
--- a/pkg/limiter/standby.go
+++ b/pkg/limiter/standby.go
@@ -30,9 +30,13 @@
 	return deputies
 }
 
-// deputyShare is the share of a team's rate that each deputy may grant.
+// deputyShare is the share of a team's rate that each deputy may grant: that of one
+// of all witnesses. Load answered: a witness freezes or is cut off while teams send
+// close to their rates. The other holders withhold the share of this deputy for
+// standbyGrantTTL, so a larger one would cost more there than it serves while a
+// holder is lost, which is until another witness gets the lease.
 func deputyShare(c *enforcer.Config) float64 {
-	return 1 / float64(max(1, len(c.Witnesses(""))-1))
+	return 1 / float64(max(1, len(c.Witnesses(""))))
 }
 
 // Standby answers the request of a deputy.
