--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -148,3 +148,24 @@
 	clock.Advance(time.Second)
 	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "near-1")
 }
+
+// TestAbandonedRequestIsNoSuccess ejects a target and lets the caller of the first
+// request after the ejection disconnect. The target must not count as recovered: only
+// one request at a time may go there.
+func TestAbandonedRequestIsNoSuccess(t *testing.T) {
+	clock := &timekeeper.Manual{}
+	r := router.New(clock, "near-0", "near", rand.New(rand.NewPCG(1, 1)))
+	members := []*control.Entry{
+		{Instance: "near-1", Centre: "near", Slots: 20, State: control.State_STATE_ALIVE},
+		{Instance: "far-1", Centre: "far", Slots: 20, State: control.State_STATE_ALIVE},
+	}
+	for range 3 {
+		qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "near-1")
+		r.RecordResult("near-1", router.Failed, time.Millisecond)
+	}
+	clock.Advance(time.Second)
+	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "near-1")
+	r.RecordResult("near-1", router.Abandoned, time.Millisecond)
+	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "near-1")
+	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "far-1")
+}
