--- a/pkg/router/latency.go
+++ b/pkg/router/latency.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
 
 const (
 	// latencyWeight is the weight of the newest request in the mean latency.
@@ -54,3 +58,18 @@
 // replaces reports whether a target with this latency is fast enough to be used in
 // place of a slow one. Without observations it is worth a try.
 func (l *latency) replaces(slow *latency) bool { return slowAdvantage*l.mean < slow.mean }
+
+// isSlow reports whether a target is slow and has been probed recently.
+func (r *Router) isSlow(e *control.Entry, now time.Time) bool {
+	s := r.targetStats(e)
+	return s.latency.isSlow() && now.Sub(s.chosenAt) < slowProbeInterval
+}
+
+// replaces reports whether a target in another data centre is to be used in place of
+// a full or slow one in the own.
+func (r *Router) replaces(remote, local *control.Entry, now time.Time) bool {
+	if r.isSlow(local, now) && r.load(remote, now) < fullLoad && r.targetStats(remote).latency.replaces(&r.targetStats(local).latency) {
+		return true
+	}
+	return r.load(local, now) >= fullLoad && r.load(remote, now) <= r.load(local, now)-remoteLoadMargin
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -176,47 +176,6 @@
 	return r.begin(r.fallback(members, now), now)
 }
 
-// isSlow reports whether a target is slow and has been probed recently.
-func (r *Router) isSlow(e *control.Entry, now time.Time) bool {
-	s := r.targetStats(e)
-	return s.latency.isSlow() && now.Sub(s.chosenAt) < slowProbeInterval
-}
-
-// replaces reports whether a target in another data centre is to be used in place of
-// a full or slow one in the own.
-func (r *Router) replaces(remote, local *control.Entry, now time.Time) bool {
-	if r.isSlow(local, now) && r.load(remote, now) < fullLoad && r.targetStats(remote).latency.replaces(&r.targetStats(local).latency) {
-		return true
-	}
-	return r.load(local, now) >= fullLoad && r.load(remote, now) <= r.load(local, now)-remoteLoadMargin
-}
-
-// fallback returns a random member, if possible one outside silent data centres.
-func (r *Router) fallback(members []*control.Entry, now time.Time) *control.Entry {
-	first := r.random.IntN(len(members))
-	for i := range members {
-		if e := members[(first+i)%len(members)]; r.targetStats(e).allowedBySilence(now) {
-			return e
-		}
-	}
-	return members[first]
-}
-
-// SilentCentres returns the silent data centres, with the time since which this node
-// has heard nothing from each.
-func (r *Router) SilentCentres() map[string]time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
-	silent := map[string]time.Time{}
-	for centre, s := range r.silences {
-		if s.isSilent(now) {
-			silent[centre] = s.unheardSince
-		}
-	}
-	return silent
-}
-
 // begin counts a request in flight to the target and returns the target's entry.
 func (r *Router) begin(e *control.Entry, now time.Time) *control.Entry {
 	s := r.targetStats(e)
@@ -228,12 +187,6 @@
 	return e
 }
 
-// allowedBySilence reports whether the silence of its data centre allows a request
-// to the target.
-func (s *targetStats) allowedBySilence(now time.Time) bool {
-	return s.silence == nil || s.silence.allows(now)
-}
-
 // subset selects members by rendezvous hashing: it keeps those with the highest
 // hash of this node's instance and theirs.
 func (r *Router) subset(members []*control.Entry) []*control.Entry {
@@ -325,26 +278,6 @@
 	}
 }
 
-// RecordAnswer records that the answer to an attempt at a target that Choose returned
-// has begun.
-func (r *Router) RecordAnswer(instance string, took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s, ok := r.stats[instance]; ok && s.silence != nil {
-		s.silence.recordAnswer(r.clock.Now(), took)
-	}
-}
-
-// RecordNoAnswer records that an attempt at a target that Choose returned ended
-// without an answer, and how.
-func (r *Router) RecordNoAnswer(instance string, result Result, took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s, ok := r.stats[instance]; ok && s.silence != nil {
-		s.silence.recordNoAnswer(r.clock.Now(), result, took)
-	}
-}
-
 func (r *Router) targetStats(e *control.Entry) *targetStats {
 	s, ok := r.stats[e.Instance]
 	if !ok {
@@ -354,20 +287,8 @@
 	return s
 }
 
-// silence returns the silence of a data centre; nil for the node's own.
-func (r *Router) silence(centre string) *silence {
-	if centre == r.centre {
-		return nil
-	}
-	s, ok := r.silences[centre]
-	if !ok {
-		s = &silence{}
-		r.silences[centre] = s
-	}
-	return s
-}
-
-// RecordResult records the result of an attempt at a target that Choose returned.
+// RecordResult records the result of an attempt at a target that Choose returned,
+// once the attempt is over. RecordAnswer or RecordNoAnswer precedes it.
 func (r *Router) RecordResult(instance string, result Result, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -400,12 +321,6 @@
 	}
 }
 
-// inSilentCentre reports whether the whole data centre of the target is silent, so
-// that a missing answer says nothing about the target.
-func (s *targetStats) inSilentCentre(now time.Time) bool {
-	return s.silence != nil && s.silence.isSilent(now)
-}
-
 // recordSuccess ends an ejection and starts the warm-up after it.
 func (s *targetStats) recordSuccess(now time.Time, took time.Duration) {
 	s.failures = 0
--- a/pkg/router/silence.go
+++ b/pkg/router/silence.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosewall/primrosewall/proto/control"
+)
 
 const (
 	// minSilence is the shortest time without an answer after which a data centre
@@ -80,3 +84,74 @@
 func (s *silence) allows(now time.Time) bool {
 	return !s.isSilent(now) || now.Sub(s.probedAt) >= silenceProbeInterval
 }
+
+// silence returns the silence of a data centre; nil for the node's own.
+func (r *Router) silence(centre string) *silence {
+	if centre == r.centre {
+		return nil
+	}
+	s, ok := r.silences[centre]
+	if !ok {
+		s = &silence{}
+		r.silences[centre] = s
+	}
+	return s
+}
+
+// allowedBySilence reports whether the silence of its data centre allows a request
+// to the target.
+func (s *targetStats) allowedBySilence(now time.Time) bool {
+	return s.silence == nil || s.silence.allows(now)
+}
+
+// inSilentCentre reports whether the whole data centre of the target is silent, so
+// that a missing answer says nothing about the target.
+func (s *targetStats) inSilentCentre(now time.Time) bool {
+	return s.silence != nil && s.silence.isSilent(now)
+}
+
+// RecordAnswer records that the answer to an attempt at a target that Choose returned
+// has begun. The result is known only at the end of the answer, which may be long.
+func (r *Router) RecordAnswer(instance string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.stats[instance]; ok && s.silence != nil {
+		s.silence.recordAnswer(r.clock.Now(), took)
+	}
+}
+
+// RecordNoAnswer records that an attempt at a target that Choose returned ended
+// without an answer, and how.
+func (r *Router) RecordNoAnswer(instance string, result Result, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.stats[instance]; ok && s.silence != nil {
+		s.silence.recordNoAnswer(r.clock.Now(), result, took)
+	}
+}
+
+// SilentCentres returns the silent data centres, with the time since which this node
+// has heard nothing from each.
+func (r *Router) SilentCentres() map[string]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	silent := map[string]time.Time{}
+	for centre, s := range r.silences {
+		if s.isSilent(now) {
+			silent[centre] = s.unheardSince
+		}
+	}
+	return silent
+}
+
+// fallback returns a random member, if possible one outside silent data centres.
+func (r *Router) fallback(members []*control.Entry, now time.Time) *control.Entry {
+	first := r.random.IntN(len(members))
+	for i := range members {
+		if e := members[(first+i)%len(members)]; r.targetStats(e).allowedBySilence(now) {
+			return e
+		}
+	}
+	return members[first]
+}
