Pacer: what targets state about themselves is read, kept and logged

No decision depends on it yet.

Answers overtake one another: a statement replaces another only if its request was sent after the other had arrived, or if it is stricter. Malformed limits name nothing, the limit in force stays.

--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -33,7 +33,7 @@
 		next(x)
 	case errors.As(err, &overload):
 		a.forwarder.count("refused_load")
-		a.setLoadHeaders(x)
+		a.forwarder.setStateHeaders(x, 0)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, overload.Wait, "%v", overload))
 	default:
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
@@ -44,12 +44,6 @@
 	return admitter.NewPriority(x.hop.Rank, x.hop.Call, x.hop.Root)
 }
 
-// setLoadHeaders tells the entry node, with a rejection, the admission level
-// and the load of this node.
-func (a *admitFilter) setLoadHeaders(x *Exchange) {
-	setLoadHeaders(x, a.forwarder.deps.Admitter.Load(), 0)
-}
-
 // ceilMilliseconds rounds up, so that less than a millisecond does not become 0.
 func ceilMilliseconds(d time.Duration) int64 {
 	return int64((d + time.Millisecond - 1) / time.Millisecond)
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -53,6 +53,9 @@
 	}
 	faulter.Reach(faulter.HopAnswered)
 	verdict := f.deps.Dialect.Classify(response, delivery)
+	if verdict == Valid || verdict == Declined {
+		f.recordStatement(x, response, inFlight.startedAt)
+	}
 	shed = verdict == Declined || routerResultOf(response.StatusCode) == router.Shed && !inFlight.hadFailedCall()
 	timer.Reset(x.timeLeft(d.now()) + x.allowance() + bodyGrace)
 	d.forwardResponse(x, inFlight, response, verdict, cancel, timer)
@@ -110,7 +113,7 @@
 func (d *deliverFilter) handleError(x *Exchange, err, cause error, inFlight *InFlightRequest) {
 	f := d.forwarder
 	x.cause = err
-	setLoadHeaders(x, f.deps.Admitter.Load(), inFlight.callLevel())
+	f.setStateHeaders(x, inFlight.callLevel())
 	var connectorErr *connector.Error
 	sent := !errors.As(err, &connectorErr) || connectorErr.Sent
 	switch {
@@ -138,7 +141,7 @@
 	defer timer.Stop()
 	f := d.forwarder
 	removePrefixedHeaders(r.Header)
-	setLoadHeaders(x, f.deps.Admitter.Load(), inFlight.callLevel())
+	f.setStateHeaders(x, inFlight.callLevel())
 	switch verdict {
 	case Declined, Misdirected:
 		inFlight.deliveryEnd = endAnswered
@@ -219,16 +222,6 @@
 	x.writer.Header().Set(headerRetries, strconv.FormatUint(uint64(x.budget.Close()), 10))
 }
 
-// setLoadHeaders tells the entry node below which priority it should reject
-// requests, and how loaded this node's target is. The level is the higher one of
-// this node's own admission level and the highest that the request's calls to
-// other services returned.
-func setLoadHeaders(x *Exchange, load admitter.Load, callLevel admitter.Priority) {
-	h := x.writer.Header()
-	h.Set(headerLevel, strconv.FormatUint(uint64(max(load.Level, callLevel)), 10))
-	h.Set(headerLoad, strconv.Itoa(loadPercent(load)))
-}
-
 // loadPercent is the number of admitted and queued requests in percent of the
 // limit.
 func loadPercent(l admitter.Load) int {
--- a/pkg/forwarder/dialect.go
+++ b/pkg/forwarder/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/pacer"
 )
 
 // RequestInfo is what a dialect reads from a caller's request.
@@ -66,6 +68,11 @@
 	Matches(r *http.Response, d *Delivery) bool
 	// Classify returns the verdict on a response to a delivery.
 	Classify(r *http.Response, d *Delivery) Verdict
+	// Statement reads what the target states about itself in a response to a
+	// delivery. The statement is partial if the response may not be the target's own.
+	// A limit that cannot be read is a *pacer.LimitError; the rest of the statement
+	// holds.
+	Statement(r *http.Response) (pacer.Statement, error)
 	// Refuse writes a refusal to a caller.
 	Refuse(w http.ResponseWriter, r *Refusal)
 }
@@ -103,5 +110,10 @@
 // Classify implements Dialect.
 func (Native) Classify(*http.Response, *Delivery) Verdict { return Valid }
 
+// Statement implements Dialect.
+func (Native) Statement(r *http.Response) (pacer.Statement, error) {
+	return readNativeStatement(r.Header)
+}
+
 // Refuse implements Dialect.
 func (Native) Refuse(w http.ResponseWriter, r *Refusal) { r.write(w) }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -119,6 +119,7 @@
 	fairShares    fairShares
 	inFlightTable inFlightTable
 	trafficSplits trafficSplits
+	ownTarget     ownTarget
 	// entry and hop run the filters of the entry node and of the target's node.
 	entry func(*Exchange)
 	hop   func(*Exchange)
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -29,16 +29,24 @@
 	HeaderWait = "Primrose-Wait"
 	// HeaderID carries the request id that is logged.
 	HeaderID = "Primrose-Id"
+	// HeaderLimit names the limit of a target in need, in requests a second, in its
+	// answers and between nodes.
+	HeaderLimit = "Primrose-Limit"
+	// HeaderLeaving marks the answers of a target that leaves, with the value 1.
+	HeaderLeaving = "Primrose-Leaving"
+	leavingValue  = "1"
 	// HeaderReplay marks a replay of the stored answer to an earlier request with
 	// the same idempotency key.
 	HeaderReplay = "Primrose-Replay"
 
-	// headerHop, headerRetries, headerLevel and headerLoad are used only between
-	// nodes.
+	// headerHop, headerRetries, headerLevel, headerLoad and headerLife are used only
+	// between nodes. headerLife says which life of the target HeaderLimit and
+	// HeaderLeaving are about.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
 	headerLoad    = "Primrose-Load"
+	headerLife    = "Primrose-Life"
 
 	// headerTeam names the team of a request to the target.
 	headerTeam = "Primrose-Team"
--- a/pkg/forwarder/request_log.go
+++ b/pkg/forwarder/request_log.go
@@ -94,6 +94,9 @@
 	}, extra...)
 	if x.target != nil {
 		attrs = append(attrs, "life", x.target.Life)
+		if rate, limited := f.ownTarget.tracker.Current(x.target.Life).Limit(); limited {
+			attrs = append(attrs, "rate", rate)
+		}
 	}
 	f.deps.Log.Info("hop", attrs...)
 	if f.deps.Observer != nil {
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -325,6 +325,7 @@
 	if load, err := strconv.Atoi(r.Header.Get(headerLoad)); err == nil {
 		f.deps.Router.RecordLoad(a.target.Instance, float64(load)/100)
 	}
+	a.recordPeerStatement(x, r.Header)
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
 		a.routerResult = router.Shed
--- /dev/null
+++ b/pkg/forwarder/target_state.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/pacer"
+)
+
+// The sources from which a node learns what a target states.
+const (
+	// sourceAnswer is an answer of the node's own target.
+	sourceAnswer = "answer"
+	// sourceHop is a request from another node that has learned it earlier.
+	sourceHop = "hop"
+	// sourceNode is an answer that the target's node has passed on.
+	sourceNode = "node"
+)
+
+// ownTarget holds what this node's target states about itself.
+type ownTarget struct {
+	tracker pacer.Tracker
+
+	mu sync.Mutex
+	// malformedLife is the last life whose malformed limit was logged.
+	malformedLife string
+}
+
+// recordStatement takes what the own target states in a response to a request that
+// was delivered at sentAt. A limit that cannot be read leaves the one in force as it
+// is, since the target is still in need.
+func (f *Forwarder) recordStatement(x *Exchange, r *http.Response, sentAt time.Time) {
+	s, err := f.deps.Dialect.Statement(r)
+	life := x.target.Life
+	if err != nil {
+		f.logMalformedLimit(x, life, err)
+	}
+	now := f.deps.Clock.Now()
+	inForce, changed := f.ownTarget.tracker.Record(life, s, sentAt, now)
+	if changed {
+		f.logTargetState(x, "", life, inForce, sourceAnswer, now.Sub(sentAt))
+	}
+}
+
+// TargetLimit returns the limit that this node's target names, in requests a second,
+// and whether it names one.
+func (f *Forwarder) TargetLimit() (rate float64, limited bool) {
+	target := f.deps.Target()
+	if target == nil {
+		return 0, false
+	}
+	return f.ownTarget.tracker.Current(target.Life).Limit()
+}
+
+// logMalformedLimit logs a limit that cannot be read, once for each life.
+func (f *Forwarder) logMalformedLimit(x *Exchange, life string, err error) {
+	o := &f.ownTarget
+	o.mu.Lock()
+	logged := o.malformedLife == life
+	o.malformedLife = life
+	o.mu.Unlock()
+	if !logged {
+		f.count("malformed_limit")
+		f.deps.Log.Warn("malformed_limit", "id", x.hop.Id, "life", life, "error", err.Error())
+	}
+}
+
+// logTargetState logs what a target states from now on, and how this node learned it.
+// at is the target's instance; empty for the own one.
+func (f *Forwarder) logTargetState(x *Exchange, at, life string, s pacer.Statement, source string, age time.Duration) {
+	rate, limited := s.Limit()
+	f.count("target_state")
+	f.deps.Log.Info("target_state", "id", x.hop.Id, "at", at, "life", life, "limited", limited, "rate", rate,
+		"leaving", s.Leaving(), "source", source, "age", age)
+}
+
+// setStatementHeaders adds what a life of a target states to a message for another
+// node.
+func setStatementHeaders(h http.Header, life string, s pacer.Statement) {
+	h.Set(headerLife, url.PathEscape(life))
+	if text := s.String(); text != "" {
+		h.Set(HeaderLimit, text)
+	}
+	if s.Leaving() {
+		h.Set(HeaderLeaving, leavingValue)
+	}
+}
+
+// readStatementHeaders reads what setStatementHeaders wrote; ok is false if the
+// message holds no statement.
+func readStatementHeaders(h http.Header) (life string, s pacer.Statement, ok bool) {
+	life, err := url.PathUnescape(h.Get(headerLife))
+	if err != nil || life == "" {
+		return "", s, false
+	}
+	s, err = readNativeStatement(h)
+	return life, s, err == nil
+}
+
+// readNativeStatement reads the headers in which targets of the daemon's own
+// interface, and nodes, make statements.
+func readNativeStatement(h http.Header) (pacer.Statement, error) {
+	var s pacer.Statement
+	if h.Get(HeaderLeaving) == leavingValue {
+		s = s.WithLeaving()
+	}
+	return s.Read(h.Values(HeaderLimit))
+}
+
+// setStateHeaders tells the entry node below which priority it should reject
+// requests, how loaded this node's target is, and what the target states. The level
+// is the higher one of this node's own admission level and callLevel, the highest
+// that the request's calls to other services returned.
+func (f *Forwarder) setStateHeaders(x *Exchange, callLevel admitter.Priority) {
+	load := f.deps.Admitter.Load()
+	h := x.writer.Header()
+	h.Set(headerLevel, strconv.FormatUint(uint64(max(load.Level, callLevel)), 10))
+	h.Set(headerLoad, strconv.Itoa(loadPercent(load)))
+	setStatementHeaders(h, x.target.Life, f.ownTarget.tracker.Current(x.target.Life))
+}
+
+// recordPeerStatement takes what the target's node passes on about its target.
+func (a *attempt) recordPeerStatement(x *Exchange, h http.Header) {
+	life, s, ok := readStatementHeaders(h)
+	if !ok {
+		return
+	}
+	f := a.filter.forwarder
+	inForce, changed := f.deps.Router.RecordStatement(a.target, life, s, a.startedAt)
+	if changed {
+		f.logTargetState(x, a.target.Instance, life, inForce, sourceNode, a.filter.now().Sub(a.startedAt))
+	}
+}
--- /dev/null
+++ b/pkg/pacer/tracker.go
@@ -0,0 +1,74 @@
+package pacer
+
+import (
+	"sync"
+	"time"
+)
+
+// Tracker keeps the statement in force of one target. Answers may overtake one
+// another, so a statement replaces another only if its request was sent after the
+// other one had arrived, or if it is stricter. The zero value is ready to use.
+type Tracker struct {
+	mu        sync.Mutex
+	life      string
+	statement Statement
+	// since is when the limit in force was learned.
+	since time.Time
+	// answered is set once an answer of this life has arrived.
+	answered bool
+}
+
+// Record takes the statement in an answer of a life of the target. sentAt is when
+// the request was sent, now when the answer arrived. Record returns the statement
+// in force and whether it changed.
+func (t *Tracker) Record(life string, s Statement, sentAt, now time.Time) (inForce Statement, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	newer := !sentAt.Before(t.since)
+	if life != t.life {
+		if !newer {
+			return t.statement, false
+		}
+		t.begin(life, now)
+	}
+	before := t.statement
+	t.statement.leaving = before.leaving || s.leaving
+	t.answered = t.answered || !s.partial
+	limitDiffers := !s.partial && (s.limited != before.limited || s.rate != before.rate)
+	if limitDiffers && (newer || s.stricterThan(before)) {
+		t.statement.rate, t.statement.limited, t.since = s.rate, s.limited, now
+	}
+	return t.statement, t.statement != before
+}
+
+// Adopt takes a limit that another node has learned from an answer of a life of the
+// target. It counts until the first answer of that life arrives here: a node that
+// has started again has forgotten the limit, while others still know it.
+func (t *Tracker) Adopt(life string, s Statement, now time.Time) (inForce Statement, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if life != t.life {
+		t.begin(life, now)
+	}
+	if t.answered || !s.stricterThan(t.statement) {
+		return t.statement, false
+	}
+	t.statement.rate, t.statement.limited, t.since = s.rate, true, now
+	return t.statement, true
+}
+
+// begin forgets what an earlier life has stated.
+func (t *Tracker) begin(life string, now time.Time) {
+	t.life, t.statement, t.since, t.answered = life, Statement{}, now, false
+}
+
+// Current returns the statement in force of a life, the zero value for another life
+// than the one that stated last.
+func (t *Tracker) Current(life string) Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if life != t.life {
+		return Statement{}
+	}
+	return t.statement
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/primrosewall/primrosewall/pkg/pacer"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -91,6 +92,8 @@
 	// waiting requests make up.
 	load         float64
 	loadReported time.Time
+	// statements holds what the target states about itself.
+	statements pacer.Tracker
 }
 
 // Router chooses targets. The caller passes the members with each choice, so the
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -17,6 +17,7 @@
 		{Name: "primrose_inflight", Help: "Requests running at the own target.", Read: func() float64 { return float64(s.admitter.Load().Inflight) }},
 		{Name: "primrose_queued", Help: "Requests waiting for the own target.", Read: func() float64 { return float64(s.admitter.Load().Queued) }},
 		{Name: "primrose_level", Help: "Priority below which requests are better refused at their entry node.", Read: func() float64 { return float64(s.admitter.Load().Level) }},
+		{Name: "primrose_target_rate", Help: "Requests a second that the own target takes at most, as it states; -1 if it names no limit.", Read: s.targetRate},
 		{Name: "primrose_target_connections", Help: "Connections made to targets since the start.", Read: func() float64 { return float64(s.connector.Dialed()) }},
 		{Name: "primrose_updates", Help: "Updates that this node still has to tell others, or keeps for members that become known.", Read: func() float64 { return float64(s.gossip.PendingUpdates()) }},
 		{Name: "primrose_suspects", Help: "Requests that ran at a crash of a target.", Read: func() float64 { suspects, _ := s.quarantine.Count(); return float64(suspects) }},
@@ -35,5 +36,13 @@
 	return s.clock.Now().Sub(last).Seconds()
 }
 
+// targetRate returns the limit that the own target names, or -1 without one.
+func (s *Server) targetRate() float64 {
+	if rate, limited := s.forwarder.TargetLimit(); limited {
+		return rate
+	}
+	return -1
+}
+
 // MetricNames returns the metrics of this node with their help texts.
 func (s *Server) MetricNames() (map[string]string, error) { return s.measurer.Names() }
