--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -29,8 +29,10 @@
 	// declare puts into force an open route, a route that requires a key, and a
 	// team with a key and a rate.
 	declare(t *testing.T, f *interfaceFleet)
-	announce(t *testing.T, f *interfaceFleet, leaving bool)
-	request(f *interfaceFleet, path, key string) *http.Request
+	// announcement is a message of the target to its node.
+	announcement(f *interfaceFleet, leaving bool) *http.Request
+	// request is a request of a caller at a node.
+	request(entry *configurer.Settings, path, key string) *http.Request
 }
 
 const (
@@ -41,8 +43,12 @@
 // interfaceFleet is a replica and a node with a target.
 type interfaceFleet struct {
 	replica, node *configurer.Settings
-	target        *echoTarget
-	heartbeats    int
+	// running is the node.
+	running *runningNode
+	// address is where the target listens.
+	address    string
+	heartbeats int
+	iface      *server.Interface
 }
 
 // echoTarget is a target whose responses suit both interfaces: it sends the
@@ -78,8 +84,8 @@
 	fmt.Fprintf(w, "%s %s %d", r.Method, r.URL.Path, len(body))
 }
 
-func newInterfaceFleet(t *testing.T, s interfaceDriver) *interfaceFleet {
-	f := &interfaceFleet{target: newEchoTarget(t)}
+func newInterfaceFleet(t *testing.T, s interfaceDriver, target string) *interfaceFleet {
+	f := &interfaceFleet{address: target, iface: s.serverInterface()}
 	peer := addresses.Next()
 	base := configurer.Settings{
 		Centre: "here", Links: configurer.LinksPlain, Rule: configurer.RuleStatic, Connections: 10,
@@ -93,26 +99,49 @@
 	}
 	node.Drain.Duration = 300 * time.Millisecond
 	f.replica, f.node = &replica, &node
-	for _, settings := range []*configurer.Settings{f.replica, f.node} {
-		n, err := server.New(settings, timekeeper.BootTimeClock{}, quietLogger(), s.serverInterface())
-		qt.Assert(t, err, qt.IsNil)
-		ctx, cancel := context.WithCancel(context.Background())
-		m := &runningNode{server: n, ended: make(chan error, 1)}
-		go m.run(ctx)
-		t.Cleanup(func() {
-			cancel()
-			<-m.ended
-		})
-	}
+	t.Cleanup(f.startNode(t, f.replica).stop)
+	f.running = f.startNode(t, f.node)
+	t.Cleanup(func() { f.running.stop() })
 	return f
 }
 
+// restartNode stops the node and starts it again; it then knows nothing of before.
+func (f *interfaceFleet) restartNode(t *testing.T) {
+	f.running.stop()
+	f.running = f.startNode(t, f.node)
+}
+
+// startNode starts a node inside the test process.
+func (f *interfaceFleet) startNode(t *testing.T, settings *configurer.Settings) *runningNode {
+	s, err := server.New(settings, timekeeper.BootTimeClock{}, quietLogger(), f.iface)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &runningNode{server: s, cancel: cancel, ended: make(chan error, 1)}
+	go n.run(ctx)
+	return n
+}
+
+// announce tells the node about the target, or that the target leaves.
+func (f *interfaceFleet) announce(t *testing.T, s interfaceDriver, leaving bool) {
+	response, err := http.DefaultClient.Do(s.announcement(f, leaving))
+	qt.Assert(t, err, qt.IsNil)
+	response.Body.Close()
+	qt.Assert(t, response.StatusCode < http.StatusMultipleChoices, qt.IsTrue, qt.Commentf("%s", response.Status))
+}
+
 // runningNode is a node that runs inside the test process.
 type runningNode struct {
 	server *server.Server
+	cancel context.CancelFunc
 	ended  chan error
 }
 
+// stop stops the node and waits for its end.
+func (n *runningNode) stop() {
+	n.cancel()
+	<-n.ended
+}
+
 func (n *runningNode) run(ctx context.Context) { n.ended <- n.server.Run(ctx) }
 
 // sendUntil repeats a request until check accepts the response, and fails the
@@ -147,20 +176,21 @@
 func TestBothInterfaces(t *testing.T) {
 	for name, s := range map[string]interfaceDriver{"native": nativeDriver{}, "platform": platformDriver{}} {
 		t.Run(name, func(t *testing.T) {
-			f := newInterfaceFleet(t, s)
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/open/x", "") }, hasStatus(http.StatusServiceUnavailable))
+			target := newEchoTarget(t)
+			f := newInterfaceFleet(t, s, target.address)
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/open/x", "") }, hasStatus(http.StatusServiceUnavailable))
 			s.declare(t, f)
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/open/x", "") }, hasStatus(http.StatusServiceUnavailable))
-			s.announce(t, f, false)
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/open/x", "") }, hasStatus(http.StatusServiceUnavailable))
+			f.announce(t, s, false)
 			served := func(got int, body string) bool { return got == http.StatusOK && strings.HasPrefix(body, "GET /") }
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/open/x", "") }, served)
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/keyed/x", testKey) }, served)
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/keyed/x", "") }, hasStatus(http.StatusUnauthorized))
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/keyed/x", "another key of nobody") }, hasStatus(http.StatusUnauthorized))
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/nowhere", testKey) }, hasStatus(http.StatusNotFound))
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/open/x", "") }, served)
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/keyed/x", testKey) }, served)
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/keyed/x", "") }, hasStatus(http.StatusUnauthorized))
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/keyed/x", "another key of nobody") }, hasStatus(http.StatusUnauthorized))
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/nowhere", testKey) }, hasStatus(http.StatusNotFound))
 			rejected := 0
 			for range 20 * testRate {
-				response, err := http.DefaultClient.Do(s.request(f, "/keyed/x", testKey))
+				response, err := http.DefaultClient.Do(s.request(f.node, "/keyed/x", testKey))
 				qt.Assert(t, err, qt.IsNil)
 				response.Body.Close()
 				if response.StatusCode == http.StatusTooManyRequests {
@@ -169,9 +199,9 @@
 				}
 			}
 			qt.Assert(t, rejected > 0, qt.IsTrue)
-			s.announce(t, f, true)
-			f.sendUntil(t, func() *http.Request { return s.request(f, "/open/x", "") }, hasStatus(http.StatusServiceUnavailable))
-			qt.Assert(t, f.target.sawKey.Load(), qt.IsFalse)
+			f.announce(t, s, true)
+			f.sendUntil(t, func() *http.Request { return s.request(f.node, "/open/x", "") }, hasStatus(http.StatusServiceUnavailable))
+			qt.Assert(t, target.sawKey.Load(), qt.IsFalse)
 		})
 	}
 }
@@ -202,21 +232,17 @@
 	t.Fatal("the declaration did not come into force")
 }
 
-func (nativeDriver) announce(t *testing.T, f *interfaceFleet, leaving bool) {
-	method, body := http.MethodPut, fmt.Sprintf(`{"service":"echo","address":%q,"slots":10,"life":"a"}`, f.target.address)
+func (nativeDriver) announcement(f *interfaceFleet, leaving bool) *http.Request {
+	method, body := http.MethodPut, fmt.Sprintf(`{"service":"echo","address":%q,"slots":10,"life":"a"}`, f.address)
 	if leaving {
 		method = http.MethodDelete
 	}
-	r, err := http.NewRequest(method, "http://"+f.node.Admin+"/announce", strings.NewReader(body))
-	qt.Assert(t, err, qt.IsNil)
-	response, err := http.DefaultClient.Do(r)
-	qt.Assert(t, err, qt.IsNil)
-	response.Body.Close()
-	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusNoContent)
+	r, _ := http.NewRequest(method, "http://"+f.node.Admin+"/announce", strings.NewReader(body))
+	return r
 }
 
-func (nativeDriver) request(f *interfaceFleet, path, key string) *http.Request {
-	r, _ := http.NewRequest(http.MethodGet, "http://"+f.node.Listen+path, nil)
+func (nativeDriver) request(entry *configurer.Settings, path, key string) *http.Request {
+	r, _ := http.NewRequest(http.MethodGet, "http://"+entry.Listen+path, nil)
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -257,22 +283,21 @@
 	}, func(code int, body string) bool { return code == http.StatusOK && body == string(manifest) })
 }
 
-func (platformDriver) announce(t *testing.T, f *interfaceFleet, leaving bool) {
+func (platformDriver) announcement(f *interfaceFleet, leaving bool) *http.Request {
 	f.heartbeats++
 	state := "ready"
 	if leaving {
 		state = "draining"
 	}
 	body := fmt.Sprintf(`{"address":%q,"born":1700,"info":{"service":"echo","slots":10},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
-		f.target.address, state, f.heartbeats)
-	response, err := http.Post("http://"+f.node.Control+"/Instances.Heartbeat/i-1", "application/json", strings.NewReader(body))
-	qt.Assert(t, err, qt.IsNil)
-	response.Body.Close()
-	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+		f.address, state, f.heartbeats)
+	r, _ := http.NewRequest(http.MethodPost, "http://"+f.node.Control+"/Instances.Heartbeat/i-1", strings.NewReader(body))
+	r.Header.Set("Content-Type", "application/json")
+	return r
 }
 
-func (platformDriver) request(f *interfaceFleet, path, key string) *http.Request {
-	r, _ := http.NewRequest(http.MethodGet, "http://"+f.node.Listen+path, nil)
+func (platformDriver) request(entry *configurer.Settings, path, key string) *http.Request {
+	r, _ := http.NewRequest(http.MethodGet, "http://"+entry.Listen+path, nil)
 	r.Host = "a.example"
 	r.Header.Set("Request-Id", fmt.Sprint(time.Now().UnixNano()))
 	r.Header.Set("Deadline-Ms", "2000")
--- /dev/null
+++ b/test/target_limit_test.go
@@ -0,0 +1,352 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/configurer"
+)
+
+// The stated bound: from limitSettles after a target first names a limit of N a
+// second, no limitWindow holds more than 1.5 N limitWindow + 5 requests from nodes
+// that passed on such an answer at least limitKnown earlier. A target that states
+// that it leaves gets nothing from leavingDrain after a node passed that on.
+const (
+	limitSettles = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitKnown   = 500 * time.Millisecond
+	leavingDrain = 2 * time.Second
+)
+
+func limitAllows(rate float64) int { return int(1.5*rate*limitWindow.Seconds() + 5) }
+
+// arrival is a request that reached the target, from a caller of an entry node.
+type arrival struct {
+	at    time.Time
+	entry string
+	// sentAt is when the caller sent it.
+	sentAt time.Time
+}
+
+// needyTarget is a target whose answers state a limit or that it leaves, for both
+// interfaces.
+type needyTarget struct {
+	address string
+	server  *http.Server
+
+	mu       sync.Mutex
+	limit    string
+	leaving  bool
+	arrivals []arrival
+	// passedOn is when an entry node first passed on an answer that states
+	// something.
+	passedOn map[string]time.Time
+}
+
+// needyServiceTime is how long the target takes for a request.
+const needyServiceTime = 10 * time.Millisecond
+
+func newNeedyTarget(t *testing.T) *needyTarget {
+	l, err := net.Listen("tcp", addresses.Next())
+	qt.Assert(t, err, qt.IsNil)
+	n := &needyTarget{address: l.Addr().String(), passedOn: map[string]time.Time{}}
+	n.server = &http.Server{Handler: n, ReadHeaderTimeout: time.Second}
+	go n.server.Serve(l)
+	t.Cleanup(func() { n.server.Close() })
+	return n
+}
+
+// state sets what later answers state: a limit, if not empty, and leaving.
+func (n *needyTarget) state(limit string, leaving bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limit, n.leaving = limit, leaving
+	n.passedOn = map[string]time.Time{}
+}
+
+// ServeHTTP implements http.Handler.
+func (n *needyTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	sent, _ := strconv.ParseInt(r.URL.Query().Get("sent"), 10, 64)
+	n.mu.Lock()
+	n.arrivals = append(n.arrivals, arrival{time.Now(), r.URL.Query().Get("entry"), time.Unix(0, sent)})
+	n.mu.Unlock()
+	time.Sleep(needyServiceTime)
+	h := w.Header()
+	h.Set("Request-Id", r.Header.Get("Request-Id"))
+	h.Set("Response-Signature", "s")
+	n.mu.Lock()
+	if n.limit != "" {
+		h.Set("Server-Limit", n.limit)
+		h.Set("Primrose-Limit", n.limit)
+		h.Set("X-Stated", "1")
+	}
+	if n.leaving {
+		h.Set("Server-Leaving", "1")
+		h.Set("Primrose-Leaving", "1")
+		h.Set("X-Stated", "1")
+	}
+	n.mu.Unlock()
+	io.WriteString(w, "GET /")
+}
+
+// recordPassedOn records that a caller got an answer that states something.
+func (n *needyTarget) recordPassedOn(entry string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.passedOn[entry]; !ok {
+		n.passedOn[entry] = time.Now()
+	}
+}
+
+// counted returns the times of the arrivals from nodes that had passed on a statement
+// so long before.
+func (n *needyTarget) counted(age time.Duration, timeOf func(arrival) time.Time) []time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []time.Time
+	for _, a := range n.arrivals {
+		if told, ok := n.passedOn[a.entry]; ok && timeOf(a).Sub(told) >= age {
+			list = append(list, a.at)
+		}
+	}
+	return list
+}
+
+// countBetween returns the number of times in a half-open interval.
+func countBetween(times []time.Time, from, to time.Time) int {
+	count := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// mostInWindow returns the highest number of arrivals in a window that begins at or
+// after a time. The arrivals are in order.
+func mostInWindow(times []time.Time, from time.Time, window time.Duration) int {
+	most := 0
+	for _, start := range times {
+		if !start.Before(from) {
+			most = max(most, countBetween(times, start, start.Add(window)))
+		}
+	}
+	return most
+}
+
+// callersSeed seeds the times between requests.
+const callersSeed = 20261205
+
+// callers sends requests at a constant mean rate to one entry node.
+type callers struct {
+	fleet  *interfaceFleet
+	driver interfaceDriver
+	target *needyTarget
+	entry  *configurer.Settings
+	rate   float64
+	ended  chan struct{}
+	client *http.Client
+	// maxTook is the longest time until the answer to a rejected request.
+	mu      sync.Mutex
+	maxTook time.Duration
+	done    sync.WaitGroup
+}
+
+// run sends requests until ended is closed, and waits for their answers.
+func (c *callers) run() {
+	random := rand.New(rand.NewPCG(callersSeed, xxhash.Sum64String(c.entry.Instance)))
+	for {
+		select {
+		case <-c.ended:
+			return
+		case <-time.After(time.Duration(random.ExpFloat64() / c.rate * float64(time.Second))):
+			c.done.Add(1)
+			go c.runOne()
+		}
+	}
+}
+
+// runOne sends one request.
+func (c *callers) runOne() {
+	defer c.done.Done()
+	began := time.Now()
+	r := c.driver.request(c.entry, fmt.Sprintf("/open/x?entry=%s&sent=%d", c.entry.Instance, began.UnixNano()), "")
+	response, err := c.client.Do(r)
+	if err != nil {
+		return
+	}
+	if response.Header.Get("X-Stated") != "" {
+		c.target.recordPassedOn(c.entry.Instance)
+	}
+	io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+	if response.StatusCode == http.StatusServiceUnavailable {
+		c.mu.Lock()
+		c.maxTook = max(c.maxTook, time.Since(began))
+		c.mu.Unlock()
+	}
+}
+
+// announcer renews the announcement of the target, also while its node is down.
+type targetAnnouncer struct {
+	fleet  *interfaceFleet
+	driver interfaceDriver
+	ended  chan struct{}
+}
+
+func (a *targetAnnouncer) run() {
+	for {
+		if response, err := http.DefaultClient.Do(a.driver.announcement(a.fleet, false)); err == nil {
+			response.Body.Close()
+		}
+		select {
+		case <-a.ended:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// needyFleet is a replica, the node beside a needy target, and entry nodes.
+type needyFleet struct {
+	*interfaceFleet
+	driver  interfaceDriver
+	target  *needyTarget
+	entries []*configurer.Settings
+	callers []*callers
+}
+
+// newNeedyFleet starts the fleet and waits until every entry node serves. Half of the
+// entry nodes are in another data centre.
+func newNeedyFleet(t *testing.T, s interfaceDriver, entries int) *needyFleet {
+	target := newNeedyTarget(t)
+	f := &needyFleet{interfaceFleet: newInterfaceFleet(t, s, target.address), driver: s, target: target}
+	for i := range entries {
+		e := *f.interfaceFleet.node
+		e.Instance = fmt.Sprintf("entry%d", i)
+		e.Peer, e.Listen, e.Ready, e.Admin, e.Control = addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next()
+		if i%2 == 1 {
+			e.Centre = "there"
+		}
+		f.entries = append(f.entries, &e)
+		n := f.startNode(t, &e)
+		t.Cleanup(n.stop)
+		// Cleanups run in reverse order: all entry nodes begin to stop before the
+		// first of them is waited for.
+		defer t.Cleanup(n.cancel)
+	}
+	s.declare(t, f.interfaceFleet)
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	go (&targetAnnouncer{f.interfaceFleet, s, ended}).run()
+	for _, e := range f.entries {
+		f.sendUntil(t, func() *http.Request { return s.request(e, "/open/x", "") }, hasStatus(http.StatusOK))
+	}
+	return f
+}
+
+// load starts callers that together send so many requests a second. The function that
+// it returns ends them.
+func (f *needyFleet) load(rate float64) (end func()) {
+	ended := make(chan struct{})
+	f.callers = nil
+	for _, e := range f.entries {
+		c := &callers{
+			fleet: f.interfaceFleet, driver: f.driver, target: f.target, entry: e, rate: rate / float64(len(f.entries)), ended: ended,
+			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		}
+		f.callers = append(f.callers, c)
+		go c.run()
+	}
+	return func() {
+		close(ended)
+		for _, c := range f.callers {
+			c.done.Wait()
+		}
+	}
+}
+
+func forBothInterfaces(t *testing.T, test func(t *testing.T, s interfaceDriver)) {
+	for name, s := range map[string]interfaceDriver{"native": nativeDriver{}, "platform": platformDriver{}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t, s)
+		})
+	}
+}
+
+// TestTargetGetsMoreThanItsLimit guards against a target that gets more requests than
+// the limit that it names, from several entry nodes together.
+func TestTargetGetsMoreThanItsLimit(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		limit string
+		rate  float64
+		load  float64
+	}{{"0", 0, 40}, {"0.5", 0.5, 40}, {"10", 10, 100}, {"100", 100, 300}} {
+		t.Run(c.limit, func(t *testing.T) {
+			t.Parallel()
+			forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
+				f := newNeedyFleet(t, s, 4)
+				end := f.load(c.load)
+				f.target.state(c.limit, false)
+				named := time.Now()
+				time.Sleep(limitSettles + 2*limitWindow)
+				end()
+				got := mostInWindow(f.target.counted(limitKnown, arrivedAt), named.Add(limitSettles), limitWindow)
+				qt.Check(t, got <= limitAllows(c.rate), qt.IsTrue, qt.Commentf("got %d in %v, allowed %d", got, limitWindow, limitAllows(c.rate)))
+			})
+		})
+	}
+}
+
+func arrivedAt(a arrival) time.Time { return a.at }
+func sentAt(a arrival) time.Time    { return a.sentAt }
+
+// TestRestartedNodeForgetsLimit guards against a target that gets more than its limit
+// after the node beside it has started again and has forgotten the limit.
+func TestRestartedNodeForgetsLimit(t *testing.T) {
+	t.Parallel()
+	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
+		f := newNeedyFleet(t, s, 4)
+		end := f.load(200)
+		f.target.state("1", false)
+		named := time.Now()
+		time.Sleep(limitSettles)
+		f.restartNode(t)
+		time.Sleep(2 * limitWindow)
+		end()
+		got := mostInWindow(f.target.counted(limitKnown, arrivedAt), named.Add(limitSettles), limitWindow)
+		qt.Check(t, got <= limitAllows(1), qt.IsTrue, qt.Commentf("got %d in %v, allowed %d", got, limitWindow, limitAllows(1)))
+		qt.Check(t, got > 0, qt.IsTrue)
+	})
+}
+
+// TestLeavingTargetGetsRequests guards against requests to a target whose answers
+// state that it leaves, while its reports still say that it is ready, also when the
+// node beside it starts again.
+func TestLeavingTargetGetsRequests(t *testing.T) {
+	t.Parallel()
+	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
+		f := newNeedyFleet(t, s, 4)
+		end := f.load(100)
+		f.target.state("", true)
+		time.Sleep(leavingDrain)
+		f.restartNode(t)
+		time.Sleep(leavingDrain + time.Second)
+		end()
+		got := len(f.target.counted(leavingDrain, sentAt))
+		qt.Check(t, got, qt.Equals, 0)
+	})
+}
