Admitter: requests begin at no more than the limit that the target names

Cause: the node beside the target bounds how many requests run at once, never how many begin in a second, and nothing read what the target states in its answers. Ruled out: that each entry node kept the limit for itself, or that it was lost again: the rate of arrivals does not change at 8 s on any node, and no line of code named the header.

All requests to a target pass the node beside it, so the gate stands there, in the admission: pkg/pacer says when the next may begin, the queue says which (class, then fair between teams). What finds no room is refused at once or within two intervals, 'not run', reason limit; the entry node then prefers other targets until the pause ends that came with the refusal, asks each target once, and pays no retry budget. Refusals raise an admission level of their own, which counts at the entry only if no target took the request: a limit of one target of several sheds nothing.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosewall/primrosewall/pkg/pacer"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 )
 
@@ -17,6 +18,11 @@
 	queueFactor = 2
 	// minQueueLength is the minimum of that bound.
 	minQueueLength = 8
+	// pacedIntervals is the queue timeout of a request that waits for the limit that
+	// the target names, in intervals between two requests, and maxPacedTimeout bounds
+	// it.
+	pacedIntervals  = 2
+	maxPacedTimeout = 500 * time.Millisecond
 	// costWeight is the weight of the newest request in the mean time in the
 	// target, overall and by team.
 	costWeight = 0.1
@@ -39,6 +45,18 @@
 	return fmt.Sprintf("no room, come back in %v", e.Wait)
 }
 
+// PacedError is the error for a request that was rejected because of the limit that
+// the target names.
+type PacedError struct {
+	// Wait is the delay after which the request may be retried.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *PacedError) Error() string {
+	return fmt.Sprintf("the target's limit is used up, come back in %v", e.Wait)
+}
+
 // Admitter admits requests to one target. It admits none until SetSlots is called.
 type Admitter struct {
 	clock     timekeeper.Clock
@@ -54,6 +72,12 @@
 	inflight   int
 	queue      queue
 	level      level
+	// pacer keeps the limit that the target names; pacedLevel is the admission level
+	// that follows from it.
+	pacer      pacer.Pacer
+	pacedLevel level
+	// wakeup is set while a pacedDispatch is running.
+	wakeup bool
 	// costs are the mean times in the target by team, in seconds.
 	costs map[string]float64
 	// serviceSeconds is the mean time in the target over all teams.
@@ -79,6 +103,17 @@
 	a.dispatch()
 }
 
+// SetTargetLimit sets the limit that the target names, in requests a second.
+func (a *Admitter) SetTargetLimit(rate float64, limited bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !limited && !a.pacer.Limited() {
+		return
+	}
+	a.pacer.SetLimit(rate, limited, a.clock.Now())
+	a.dispatch()
+}
+
 // Ticket represents an admitted request; Done must be called exactly once.
 type Ticket struct {
 	admitter *Admitter
@@ -89,17 +124,18 @@
 }
 
 // Admit waits for a slot, at most for the queue timeout. It returns an
-// *OverloadError if the request got none, or an error that wraps the context's
-// error if the context was done first.
+// *OverloadError if the request got none, a *PacedError if that was for the limit
+// that the target names, or an error that wraps the context's error if the context was
+// done first.
 func (a *Admitter) Admit(ctx context.Context, team string, p Priority) (*Ticket, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
-	a.level.advance(now, a.serviceTime())
-	a.level.recordArrival(p, float64(a.inflight+1)/float64(max(a.currentLimit(now), 1)))
+	a.recordArrival(p, now)
 	a.rejectExpired(now)
-	if a.inflight < a.currentLimit(now) && a.queue.size == 0 {
+	if a.hasRoom(now) && a.queue.size == 0 {
 		t := a.acquire(team, now)
 		a.level.recordWait(0)
+		a.pacedLevel.recordWait(0)
 		a.mu.Unlock()
 		return t, nil
 	}
@@ -112,45 +148,75 @@
 	return a.wait(ctx, w)
 }
 
+// recordArrival counts a request for both levels and for the demand.
+func (a *Admitter) recordArrival(p Priority, now time.Time) {
+	a.advanceLevels(now)
+	a.level.recordArrival(p, float64(a.inflight+1)/float64(max(a.currentLimit(now), 1)))
+	a.pacedLevel.recordArrival(p, a.pacer.Utilization(now))
+	a.pacer.RecordArrival(now)
+}
+
+func (a *Admitter) advanceLevels(now time.Time) {
+	a.level.advance(now, a.serviceTime())
+	a.pacedLevel.advance(now, a.serviceTime())
+}
+
+// hasRoom reports whether a request may begin: there is a free slot, and the limit
+// that the target names is not used up.
+func (a *Admitter) hasRoom(now time.Time) bool {
+	return a.inflight < a.currentLimit(now) && a.pacer.Ready(now)
+}
+
 // enqueue adds the waiter to the queue. If the queue is then too long, enqueue
 // rejects the least urgent waiter, which may be the new one.
 func (a *Admitter) enqueue(w *waiter) error {
 	a.queue.push(w)
 	a.dispatch()
-	if a.queue.size <= a.maxQueueLength() {
+	w.paced = !a.pacer.Ready(w.since)
+	w.expiresAt = w.since.Add(a.queueTimeout(w.paced))
+	if a.queue.size <= a.maxQueueLength(w.since) {
 		return nil
 	}
-	a.level.rejected = true
 	leastUrgent := a.queue.leastUrgent()
 	a.queue.remove(leastUrgent)
+	err := a.reject(leastUrgent, w.since)
 	if leastUrgent == w {
-		return a.overloadError()
+		return err
 	}
-	leastUrgent.result <- a.overloadError()
+	leastUrgent.result <- err
 	return nil
 }
 
+// reject records that a waiter is rejected for lack of capacity, and returns the error
+// for it.
+func (a *Admitter) reject(w *waiter, now time.Time) error {
+	if w.paced {
+		a.pacedLevel.rejected = true
+		return &PacedError{Wait: a.pacer.Backoff(now)}
+	}
+	a.level.rejected = true
+	return a.overloadError()
+}
+
 // wait waits until the request gets a slot or is rejected, the queue timeout
 // passes, or the context is done.
 func (a *Admitter) wait(ctx context.Context, w *waiter) (*Ticket, error) {
 	select {
 	case err := <-w.result:
 		return a.ticket(w, err)
-	case <-a.clock.After(a.queueTimeout()):
+	case <-a.clock.After(w.expiresAt.Sub(w.since)):
 	case <-ctx.Done():
 	}
 	a.mu.Lock()
 	removed := a.queue.remove(w)
 	if removed {
-		if ctx.Err() == nil {
-			a.level.rejected = true
-		}
-		overloadError := a.overloadError()
-		a.mu.Unlock()
 		if err := ctx.Err(); err != nil {
+			a.mu.Unlock()
 			return nil, fmt.Errorf("wait for a slot: %w", err)
 		}
-		return nil, overloadError
+		err := a.reject(w, a.clock.Now())
+		a.mu.Unlock()
+		return nil, err
 	}
 	a.mu.Unlock()
 	return a.ticket(w, <-w.result)
@@ -170,43 +236,67 @@
 // acquire takes a free slot.
 func (a *Admitter) acquire(team string, now time.Time) *Ticket {
 	a.inflight++
+	a.pacer.Begin(now)
 	return &Ticket{admitter: a, team: team, began: now, inflight: a.inflight}
 }
 
 // dispatch gives free slots to waiters.
 func (a *Admitter) dispatch() {
 	now := a.clock.Now()
-	currentLimit := a.currentLimit(now)
-	for a.inflight < currentLimit {
+	for a.hasRoom(now) {
 		w := a.queue.pop(a.cost, a.serviceSeconds)
 		if w == nil {
 			return
 		}
 		a.inflight++
-		a.level.recordWait(now.Sub(w.since))
+		a.pacer.Begin(now)
+		if w.paced {
+			a.pacedLevel.recordWait(now.Sub(w.since))
+		} else {
+			a.level.recordWait(now.Sub(w.since))
+		}
 		w.result <- nil
 	}
+	if wait := a.pacer.Wait(now); wait > 0 && a.queue.size > 0 && !a.wakeup {
+		a.wakeup = true
+		d := &pacedDispatch{admitter: a, wait: wait}
+		go d.run()
+	}
+}
+
+// pacedDispatch dispatches when the limit that the target names allows the next
+// request.
+type pacedDispatch struct {
+	admitter *Admitter
+	wait     time.Duration
+}
+
+func (d *pacedDispatch) run() {
+	a := d.admitter
+	<-a.clock.After(d.wait)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.wakeup = false
+	a.dispatch()
 }
 
 // rejectExpired rejects the waiters whose queue timeout has passed.
 func (a *Admitter) rejectExpired(now time.Time) {
-	for _, w := range a.queue.expire(now.Add(-a.queueTimeoutLocked())) {
-		a.level.rejected = true
-		w.result <- a.overloadError()
+	for _, w := range a.queue.expire(now) {
+		w.result <- a.reject(w, now)
 	}
 }
 
-// queueTimeoutLocked returns the queue timeout: a slow target keeps its slots
-// busy only if requests may wait about as long as one runs. The caller holds the
+// queueTimeout returns the queue timeout: a slow target keeps its slots busy only if
+// requests may wait about as long as one runs, and a low limit is left to urgent
+// requests only if one of them may wait for the next that begins. The caller holds the
 // lock.
-func (a *Admitter) queueTimeoutLocked() time.Duration {
-	return max(minQueueTimeout, a.serviceTime())
-}
-
-func (a *Admitter) queueTimeout() time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.queueTimeoutLocked()
+func (a *Admitter) queueTimeout(paced bool) time.Duration {
+	timeout := max(minQueueTimeout, a.serviceTime())
+	if paced {
+		return max(timeout, min(pacedIntervals*a.pacer.Interval(), maxPacedTimeout))
+	}
+	return timeout
 }
 
 // serviceTime returns the mean time in the target.
@@ -224,7 +314,13 @@
 	return min(a.limit, max(minWarmupLimit, int(fraction*float64(a.limit))))
 }
 
-func (a *Admitter) maxQueueLength() int { return max(minQueueLength, queueFactor*a.limit) }
+func (a *Admitter) maxQueueLength(now time.Time) int {
+	length := max(minQueueLength, queueFactor*a.limit)
+	if a.pacer.Ready(now) {
+		return length
+	}
+	return min(length, a.pacer.Waiters(a.queueTimeout(true)))
+}
 
 // overloadError returns an *OverloadError whose delay is the estimated time that
 // the target needs for the queue.
@@ -254,7 +350,7 @@
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
 	a.limit = updateLimit(a.algorithm, sample{own: max(elapsed-callTime, 0), shed: shed, inflight: t.inflight}, a.slots)
-	a.level.advance(now, a.serviceTime())
+	a.advanceLevels(now)
 	a.dispatch()
 }
 
@@ -272,11 +368,18 @@
 type Load struct {
 	Slots, Limit, Inflight, Queued int
 	Level                          Priority
+	// Paced is the part of the limit named by the target that is in use, from 0 to 1,
+	// and PacedLevel the admission level that follows from that limit.
+	Paced      float64
+	PacedLevel Priority
 }
 
 // Load returns a snapshot.
 func (a *Admitter) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Load{Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.threshold()}
+	return Load{
+		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.threshold(),
+		Paced: a.pacer.Utilization(a.clock.Now()), PacedLevel: a.pacedLevel.threshold(),
+	}
 }
--- a/pkg/admitter/doc.go
+++ b/pkg/admitter/doc.go
@@ -6,6 +6,9 @@
 // requests. When the queue is full, the admitter rejects the least urgent request
 // at once.
 //
+// A target may name a limit in requests a second. Requests then begin at that rate;
+// those that find no room in it wait and are rejected in the same order.
+//
 // An admission level, which the node reports to upstream nodes, says which
 // requests the admitter would reject, so that the entry node rejects them before
 // any work is spent on them.
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -7,6 +7,10 @@
 	team     string
 	priority Priority
 	since    time.Time
+	// expiresAt is when its queue timeout passes.
+	expiresAt time.Time
+	// paced is set if it had to wait for the limit that the target names.
+	paced bool
 	// result receives nil when the request may run, or the error that rejects it.
 	result chan error
 }
@@ -117,14 +121,14 @@
 	return lowest
 }
 
-// expire removes and returns the waiters that have waited since before the cutoff.
-func (q *queue) expire(cutoff time.Time) []*waiter {
+// expire removes and returns the waiters whose queue timeout has passed.
+func (q *queue) expire(now time.Time) []*waiter {
 	var expired []*waiter
 	for class := range classCount {
 		for _, t := range q.classes[class] {
 			kept := t.waiters[:0:0]
 			for _, w := range t.waiters {
-				if w.since.Before(cutoff) {
+				if w.expiresAt.Before(now) {
 					expired = append(expired, w)
 					continue
 				}
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -25,8 +25,10 @@
 	x.target = target
 	ctx, cancel := context.WithDeadline(x.Context(), x.deadline)
 	defer cancel()
+	a.forwarder.applyTargetLimit(target.Life)
 	ticket, err := deps.Admitter.Admit(ctx, x.hop.Team, priorityOf(x))
 	var overload *admitter.OverloadError
+	var paced *admitter.PacedError
 	switch {
 	case err == nil:
 		x.ticket = ticket
@@ -35,6 +37,10 @@
 		a.forwarder.count("refused_load")
 		a.forwarder.setStateHeaders(x, 0)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, overload.Wait, "%v", overload))
+	case errors.As(err, &paced):
+		a.forwarder.count("refused_limit")
+		a.forwarder.setStateHeaders(x, deps.Admitter.Load().PacedLevel)
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLimit, paced.Wait, "%v", paced))
 	default:
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
 	}
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -223,7 +223,7 @@
 }
 
 // loadPercent is the number of admitted and queued requests in percent of the
-// limit.
+// limit, or the part in use of the limit that the target names if that is higher.
 func loadPercent(l admitter.Load) int {
-	return (l.Inflight + l.Queued) * 100 / max(l.Limit, 1)
+	return max((l.Inflight+l.Queued)*100/max(l.Limit, 1), int(l.Paced*100))
 }
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -70,11 +70,13 @@
 
 // The reasons.
 const (
-	ReasonRequest  Reason = "request"
-	ReasonKey      Reason = "key"
-	ReasonRoute    Reason = "route"
-	ReasonRate     Reason = "rate"
-	ReasonLoad     Reason = "load"
+	ReasonRequest Reason = "request"
+	ReasonKey     Reason = "key"
+	ReasonRoute   Reason = "route"
+	ReasonRate    Reason = "rate"
+	ReasonLoad    Reason = "load"
+	// ReasonLimit stands for requests over the limit that the target names.
+	ReasonLimit    Reason = "limit"
 	ReasonDeadline Reason = "deadline"
 	ReasonPoison   Reason = "poison"
 	ReasonTarget   Reason = "target"
--- a/pkg/forwarder/request_log.go
+++ b/pkg/forwarder/request_log.go
@@ -95,7 +95,7 @@
 	if x.target != nil {
 		attrs = append(attrs, "life", x.target.Life)
 		if rate, limited := f.ownTarget.tracker.Current(x.target.Life).Limit(); limited {
-			attrs = append(attrs, "rate", rate)
+			attrs = append(attrs, "rate", rate, "used", load.Paced)
 		}
 	}
 	f.deps.Log.Info("hop", attrs...)
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -59,7 +59,7 @@
 		if u, ok := a.result.(*unknownResult); ok {
 			lastUnknown = u
 		}
-		if s.shouldRetry(x, a) {
+		if s.shouldRetry(x, a, tried) {
 			a.abandon()
 			s.forwarder.count("retries")
 			continue
@@ -93,6 +93,9 @@
 	if x.parent != nil && callFailed(final) {
 		x.parent.markFailedCall()
 	}
+	if r, ok := final.(*notRunResult); ok && r.refusal.Reason == ReasonLimit {
+		s.forwarder.recordLevel(x, a.pacedLevel, s.now())
+	}
 	s.forwarder.logOutcome(x, a, final, s.now())
 	switch r := final.(type) {
 	case *answeredResult:
@@ -120,8 +123,9 @@
 
 // shouldRetry reports whether another attempt is safe, useful and within its bound:
 // maxRejections after a rejection that cost the target nothing, otherwise the retry
-// budgets of the service and of the request, from which it takes one retry.
-func (s *sendFilter) shouldRetry(x *Exchange, a *attempt) bool {
+// budgets of the service and of the request, from which it takes one retry. A target
+// that rejected the request because of its limit is not asked again.
+func (s *sendFilter) shouldRetry(x *Exchange, a *attempt, tried map[string]bool) bool {
 	if x.bodyRead.Load() || x.timeLeft(s.now()) <= 0 || x.Context().Err() != nil || a.target == nil {
 		return false
 	}
@@ -129,6 +133,9 @@
 	case *notRunResult:
 		if r.refusal.Reason != ReasonDeclined {
 			x.rejections++
+			if r.refusal.Reason == ReasonLimit && !s.forwarder.deps.Router.HasUntried(s.forwarder.deps.Targets(x.hop.Service), tried) {
+				return false
+			}
 			return x.rejections < maxRejections
 		}
 	case *answeredResult:
@@ -159,6 +166,9 @@
 	// timeout, until it has ended.
 	timer        *time.Timer
 	routerResult router.Result
+	// pacedLevel is the admission level that came with a rejection because of the
+	// target's limit.
+	pacedLevel admitter.Priority
 }
 
 // attempt chooses a target that is not in tried, and sends the request once.
@@ -319,7 +329,11 @@
 	if left, err := strconv.ParseUint(r.Header.Get(headerRetries), 10, 32); err == nil {
 		x.budget.Return(min(uint32(left), delegated))
 	}
-	if level, err := strconv.ParseUint(r.Header.Get(headerLevel), 10, 16); err == nil {
+	isPaced := Reason(r.Header.Get(HeaderReason)) == ReasonLimit
+	if level, err := strconv.ParseUint(r.Header.Get(headerLevel), 10, 16); err == nil && isPaced {
+		// Another target may still take the request, see respond.
+		a.pacedLevel = admitter.Priority(level)
+	} else if err == nil {
 		f.recordLevel(x, admitter.Priority(level), a.filter.now())
 	}
 	if load, err := strconv.Atoi(r.Header.Get(headerLoad)); err == nil {
@@ -328,8 +342,13 @@
 	a.recordPeerStatement(x, r.Header)
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
+		refusal := readRefusal(r, NotRun)
 		a.routerResult = router.Shed
-		a.result = &notRunResult{refusal: readRefusal(r, NotRun)}
+		if isPaced {
+			a.routerResult = router.Paced
+			f.deps.Router.RecordPaced(a.target.Instance, refusal.JitteredWait())
+		}
+		a.result = &notRunResult{refusal: refusal}
 		r.Body.Close()
 	case Unknown:
 		a.routerResult = router.Failed
--- a/pkg/forwarder/target_state.go
+++ b/pkg/forwarder/target_state.go
@@ -43,9 +43,18 @@
 	inForce, changed := f.ownTarget.tracker.Record(life, s, sentAt, now)
 	if changed {
 		f.logTargetState(x, "", life, inForce, sourceAnswer, now.Sub(sentAt))
+		if target := f.deps.Target(); target != nil {
+			f.applyTargetLimit(target.Life)
+		}
 	}
 }
 
+// applyTargetLimit sets the limit that a life of the own target names, for the
+// admission.
+func (f *Forwarder) applyTargetLimit(life string) {
+	f.deps.Admitter.SetTargetLimit(f.ownTarget.tracker.Current(life).Limit())
+}
+
 // TargetLimit returns the limit that this node's target names, in requests a second,
 // and whether it names one.
 func (f *Forwarder) TargetLimit() (rate float64, limited bool) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -58,6 +58,9 @@
 	// Shed means that the target or its node rejected the request, as a rule for
 	// lack of capacity.
 	Shed
+	// Paced means that the target's node rejected the request because of the limit
+	// that the target names.
+	Paced
 	// Failed means that the connection broke, or that the answer had a failure
 	// status.
 	Failed
@@ -94,6 +97,8 @@
 	loadReported time.Time
 	// statements holds what the target states about itself.
 	statements pacer.Tracker
+	// pausedUntil is when the target may next have room in the limit that it names.
+	pausedUntil time.Time
 }
 
 // Router chooses targets. The caller passes the members with each choice, so the
@@ -219,14 +224,19 @@
 }
 
 // pick returns the better of two random members that are usable and were not
-// tried, or nil if there is none.
+// tried, or nil if there is none. It takes a paused one only if all of them are.
 func (r *Router) pick(members []*control.Entry, tried map[string]bool, now time.Time) *control.Entry {
 	var usable [subset]*control.Entry
 	count := 0
-	for _, e := range members {
-		if !tried[e.Instance] && r.usable(e, now) {
-			usable[count] = e
-			count++
+	for _, takePaused := range []bool{false, true} {
+		for _, e := range members {
+			if !tried[e.Instance] && r.usable(e, now) && r.isPaused(e, now) == takePaused {
+				usable[count] = e
+				count++
+			}
+		}
+		if count > 0 {
+			break
 		}
 	}
 	if count == 0 {
@@ -265,7 +275,7 @@
 	if now.Sub(s.loadReported) < loadTTL {
 		load = s.load
 	}
-	if now.Sub(s.lastShed) < loadTTL {
+	if now.Sub(s.lastShed) < loadTTL || r.isPaused(e, now) {
 		load = max(load, 1)
 	}
 	return load
@@ -307,6 +317,8 @@
 	case Shed:
 		s.failures = 0
 		s.lastShed = now
+	case Paced:
+		s.failures = 0
 	case Failed:
 		s.recordFailure(now, took)
 	case Expired:
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -169,3 +169,37 @@
 	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "near-1")
 	qt.Assert(t, r.Choose(members, nil).Instance, qt.Equals, "far-1")
 }
+
+// TestPausedTargetIsPassedOver checks that requests go to targets in other data centres
+// while the local one has no room in the limit that it names, to it when its pause is
+// over, and to paused ones if there are no others.
+func TestPausedTargetIsPassedOver(t *testing.T) {
+	clock := &timekeeper.Manual{}
+	clock.Advance(time.Minute)
+	r := router.New(clock, "near-0", "near", rand.New(rand.NewPCG(1, 1)))
+	members := []*control.Entry{
+		{Instance: "near-1", Centre: "near", Slots: 20, State: control.State_STATE_ALIVE},
+		{Instance: "far-1", Centre: "far", Slots: 20, State: control.State_STATE_ALIVE},
+		{Instance: "far-2", Centre: "far", Slots: 20, State: control.State_STATE_ALIVE},
+	}
+	choose := func() string {
+		instance := r.Choose(members, nil).Instance
+		r.RecordResult(instance, router.Succeeded, 20*time.Millisecond)
+		return instance
+	}
+	qt.Assert(t, choose(), qt.Equals, "near-1")
+	r.RecordPaced("near-1", time.Second)
+	for range 50 {
+		qt.Assert(t, choose(), qt.Not(qt.Equals), "near-1")
+	}
+	r.RecordPaced("far-1", 2*time.Second)
+	for range 50 {
+		qt.Assert(t, choose(), qt.Equals, "far-2")
+	}
+	r.RecordPaced("far-2", 2*time.Second)
+	qt.Assert(t, choose(), qt.Equals, "near-1")
+	qt.Assert(t, r.HasUntried(members, map[string]bool{"near-1": true, "far-1": true}), qt.IsTrue)
+	qt.Assert(t, r.HasUntried(members, map[string]bool{"near-1": true, "far-1": true, "far-2": true}), qt.IsFalse)
+	clock.Advance(time.Second)
+	qt.Assert(t, choose(), qt.Equals, "near-1")
+}
--- a/pkg/router/statements.go
+++ b/pkg/router/statements.go
@@ -1,12 +1,44 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/pacer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
+// RecordPaced records that the target's node rejected a request because of the limit
+// that the target names, and for how long others of this node are better sent
+// elsewhere.
+func (r *Router) RecordPaced(instance string, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.stats[instance]; ok {
+		s.pausedUntil = r.clock.Now().Add(wait)
+	}
+}
+
+// isPaused reports whether the target has no room in the limit that it names, as far
+// as this node knows.
+func (r *Router) isPaused(e *control.Entry, now time.Time) bool {
+	return now.Before(r.targetStats(e).pausedUntil)
+}
+
+// HasUntried reports whether a usable target among the members of a service has not
+// been tried for a request.
+func (r *Router) HasUntried(members []*control.Entry, tried map[string]bool) bool {
+	if len(members) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	c := r.candidates(members)
+	isUntried := func(e *control.Entry) bool { return !tried[e.Instance] && r.usable(e, now) }
+	return slices.ContainsFunc(c.local, isUntried) || slices.ContainsFunc(c.remote, isUntried)
+}
+
 // RecordStatement takes what a life of a target that Choose returned states about
 // itself, in an answer to an attempt that began at sentAt. It returns the statement
 // in force and whether it changed.
--- a/test/target_limit_test.go
+++ b/test/target_limit_test.go
@@ -122,6 +122,17 @@
 	return list
 }
 
+// arrivedTimes returns the times of all arrivals.
+func (n *needyTarget) arrivedTimes() []time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []time.Time
+	for _, a := range n.arrivals {
+		list = append(list, a.at)
+	}
+	return list
+}
+
 // countBetween returns the number of times in a half-open interval.
 func countBetween(times []time.Time, from, to time.Time) int {
 	count := 0
@@ -287,7 +298,8 @@
 }
 
 // TestTargetGetsMoreThanItsLimit guards against a target that gets more requests than
-// the limit that it names, from several entry nodes together.
+// the limit that it names, from several entry nodes together. At least 0.8 of the limit
+// must be used, and when it has ended, the target gets what is sent.
 func TestTargetGetsMoreThanItsLimit(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
@@ -303,9 +315,18 @@
 				f.target.state(c.limit, false)
 				named := time.Now()
 				time.Sleep(limitSettles + 2*limitWindow)
-				end()
 				got := mostInWindow(f.target.counted(limitKnown, arrivedAt), named.Add(limitSettles), limitWindow)
 				qt.Check(t, got <= limitAllows(c.rate), qt.IsTrue, qt.Commentf("got %d in %v, allowed %d", got, limitWindow, limitAllows(c.rate)))
+				used := countBetween(f.target.arrivedTimes(), named.Add(limitSettles), time.Now())
+				qt.Check(t, float64(used) >= 0.8*c.rate*(2*limitWindow).Seconds(), qt.IsTrue, qt.Commentf("%d in %v", used, 2*limitWindow))
+				f.target.state("", false)
+				// A limit of 0 ends only with the answer to a trial.
+				time.Sleep(limitWindow + limitSettles)
+				ended := time.Now()
+				time.Sleep(time.Second)
+				end()
+				after := countBetween(f.target.arrivedTimes(), ended, ended.Add(time.Second))
+				qt.Check(t, float64(after) >= 0.6*c.load, qt.IsTrue, qt.Commentf("%d in the second after the limit, %v were sent", after, c.load))
 			})
 		})
 	}
