Forwarder: a node that starts again takes the target's limit from its callers' nodes

What callers' nodes cause: after the node beside a limited target has started again, a target that takes 400 ms and a limit of 1 a second gets 64 and 81 requests in 4 s where 11 are allowed (TestRestartedNodeForgetsLimit with this commit's adoption taken out). Cause: the node has forgotten the limit, and everything that arrives before the first answer begins. The restart of that node doesn't excuse the nodes at which the requests began, and these still know the limit.

Entry nodes send along what they know with the hop; the node takes it if it is about the life that it knows and no answer of that life has arrived yet. The test now uses a slow target: with one that answers in 10 ms the first answer came soon enough, and the test passed without this. Messages about targets that state nothing are as long as before.

--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -180,6 +180,7 @@
 		return
 	}
 	faulter.Reach(faulter.HopReceived)
+	f.adoptLimit(hop, r.Header)
 	removePrefixedHeaders(r.Header)
 	now := f.deps.Clock.Now()
 	x := &Exchange{
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -267,6 +267,8 @@
 	body, length := x.nextBody()
 	header := x.request.Header.Clone()
 	header.Set(headerHop, encodeHop(hop))
+	life, s := a.filter.forwarder.deps.Router.Statement(a.target.Instance)
+	setStatementHeaders(header, life, s)
 	if x.streamed {
 		header.Set("Expect", "100-continue")
 	}
--- a/pkg/forwarder/target_state.go
+++ b/pkg/forwarder/target_state.go
@@ -9,6 +9,7 @@
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/pacer"
+	"github.com/primrosewall/primrosewall/proto/control"
 )
 
 // The sources from which a node learns what a target states.
@@ -42,13 +43,27 @@
 	now := f.deps.Clock.Now()
 	inForce, changed := f.ownTarget.tracker.Record(life, s, sentAt, now)
 	if changed {
-		f.logTargetState(x, "", life, inForce, sourceAnswer, now.Sub(sentAt))
+		f.logTargetState(x.hop.Id, "", life, inForce, sourceAnswer, now.Sub(sentAt))
 		if target := f.deps.Target(); target != nil {
 			f.applyTargetLimit(target.Life)
 		}
 	}
 }
 
+// adoptLimit takes the limit of the own target that the sender of a hop has learned.
+func (f *Forwarder) adoptLimit(hop *control.Hop, h http.Header) {
+	life, s, ok := readStatementHeaders(h)
+	target := f.deps.Target()
+	if !ok || target == nil || target.Life != life {
+		return
+	}
+	inForce, changed := f.ownTarget.tracker.Adopt(life, s, f.deps.Clock.Now())
+	if changed {
+		f.logTargetState(hop.Id, "", life, inForce, sourceHop, 0)
+		f.applyTargetLimit(life)
+	}
+}
+
 // applyTargetLimit sets the limit that a life of the own target names, for the
 // admission.
 func (f *Forwarder) applyTargetLimit(life string) {
@@ -80,16 +95,19 @@
 
 // logTargetState logs what a target states from now on, and how this node learned it.
 // at is the target's instance; empty for the own one.
-func (f *Forwarder) logTargetState(x *Exchange, at, life string, s pacer.Statement, source string, age time.Duration) {
+func (f *Forwarder) logTargetState(id, at, life string, s pacer.Statement, source string, age time.Duration) {
 	rate, limited := s.Limit()
 	f.count("target_state")
-	f.deps.Log.Info("target_state", "id", x.hop.Id, "at", at, "life", life, "limited", limited, "rate", rate,
+	f.deps.Log.Info("target_state", "id", id, "at", at, "life", life, "limited", limited, "rate", rate,
 		"leaving", s.Leaving(), "source", source, "age", age)
 }
 
-// setStatementHeaders adds what a life of a target states to a message for another
-// node.
+// setStatementHeaders adds what a life of a target states, if anything, to a message
+// for another node.
 func setStatementHeaders(h http.Header, life string, s pacer.Statement) {
+	if s == (pacer.Statement{}) {
+		return
+	}
 	h.Set(headerLife, url.PathEscape(life))
 	if text := s.String(); text != "" {
 		h.Set(HeaderLimit, text)
@@ -132,15 +150,22 @@
 	setStatementHeaders(h, x.target.Life, f.ownTarget.tracker.Current(x.target.Life))
 }
 
-// recordPeerStatement takes what the target's node passes on about its target.
+// recordPeerStatement takes what the target's node passes on about its target. A
+// message that tells the load and no statement ends the limit that is known.
 func (a *attempt) recordPeerStatement(x *Exchange, h http.Header) {
+	f := a.filter.forwarder
 	life, s, ok := readStatementHeaders(h)
 	if !ok {
+		if h.Get(headerLoad) == "" {
+			return
+		}
+		life, _ = f.deps.Router.Statement(a.target.Instance)
+	}
+	if life == "" {
 		return
 	}
-	f := a.filter.forwarder
 	inForce, changed := f.deps.Router.RecordStatement(a.target, life, s, a.startedAt)
 	if changed {
-		f.logTargetState(x, a.target.Instance, life, inForce, sourceNode, a.filter.now().Sub(a.startedAt))
+		f.logTargetState(x.hop.Id, a.target.Instance, life, inForce, sourceNode, a.filter.now().Sub(a.startedAt))
 	}
 }
--- a/pkg/pacer/tracker.go
+++ b/pkg/pacer/tracker.go
@@ -62,6 +62,14 @@
 	t.life, t.statement, t.since, t.answered = life, Statement{}, now, false
 }
 
+// InForce returns the statement in force and the life that it is about; before the
+// first one the life is empty.
+func (t *Tracker) InForce() (life string, s Statement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.life, t.statement
+}
+
 // Current returns the statement in force of a life, the zero value for another life
 // than the one that stated last.
 func (t *Tracker) Current(life string) Statement {
--- a/pkg/router/statements.go
+++ b/pkg/router/statements.go
@@ -39,6 +39,18 @@
 	return slices.ContainsFunc(c.local, isUntried) || slices.ContainsFunc(c.remote, isUntried)
 }
 
+// Statement returns what the target of an instance states about itself, as far as this
+// node knows, and the life that it is about; without one the life is empty.
+func (r *Router) Statement(instance string) (life string, s pacer.Statement) {
+	r.mu.Lock()
+	stats, ok := r.stats[instance]
+	r.mu.Unlock()
+	if !ok {
+		return "", s
+	}
+	return stats.statements.InForce()
+}
+
 // RecordStatement takes what a life of a target that Choose returned states about
 // itself, in an answer to an attempt that began at sentAt. It returns the statement
 // in force and whether it changed.
--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -38,6 +38,8 @@
 const (
 	testKey  = "pwk_a_key_of_the_suite_only"
 	testRate = 5
+	// testSlots is how many requests the target runs at once.
+	testSlots = 100
 )
 
 // interfaceFleet is a replica and a node with a target.
@@ -88,7 +90,7 @@
 	f := &interfaceFleet{address: target, iface: s.serverInterface()}
 	peer := addresses.Next()
 	base := configurer.Settings{
-		Centre: "here", Links: configurer.LinksPlain, Rule: configurer.RuleStatic, Connections: 10,
+		Centre: "here", Links: configurer.LinksPlain, Rule: configurer.RuleStatic, Connections: testSlots,
 		Seeds: []string{peer}, Replicas: []string{peer}, Found: true,
 	}
 	replica, node := base, base
@@ -233,7 +235,7 @@
 }
 
 func (nativeDriver) announcement(f *interfaceFleet, leaving bool) *http.Request {
-	method, body := http.MethodPut, fmt.Sprintf(`{"service":"echo","address":%q,"slots":10,"life":"a"}`, f.address)
+	method, body := http.MethodPut, fmt.Sprintf(`{"service":"echo","address":%q,"slots":%d,"life":"a"}`, f.address, testSlots)
 	if leaving {
 		method = http.MethodDelete
 	}
@@ -289,8 +291,8 @@
 	if leaving {
 		state = "draining"
 	}
-	body := fmt.Sprintf(`{"address":%q,"born":1700,"info":{"service":"echo","slots":10},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
-		f.address, state, f.heartbeats)
+	body := fmt.Sprintf(`{"address":%q,"born":1700,"info":{"service":"echo","slots":%d},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
+		f.address, testSlots, state, f.heartbeats)
 	r, _ := http.NewRequest(http.MethodPost, "http://"+f.node.Control+"/Instances.Heartbeat/i-1", strings.NewReader(body))
 	r.Header.Set("Content-Type", "application/json")
 	return r
--- a/test/target_limit_test.go
+++ b/test/target_limit_test.go
@@ -41,8 +41,9 @@
 // needyTarget is a target whose answers state a limit or that it leaves, for both
 // interfaces.
 type needyTarget struct {
-	address string
-	server  *http.Server
+	address     string
+	server      *http.Server
+	serviceTime time.Duration
 
 	mu       sync.Mutex
 	limit    string
@@ -53,13 +54,11 @@
 	passedOn map[string]time.Time
 }
 
-// needyServiceTime is how long the target takes for a request.
-const needyServiceTime = 10 * time.Millisecond
-
-func newNeedyTarget(t *testing.T) *needyTarget {
+// newNeedyTarget starts a target that takes so long for a request.
+func newNeedyTarget(t *testing.T, serviceTime time.Duration) *needyTarget {
 	l, err := net.Listen("tcp", addresses.Next())
 	qt.Assert(t, err, qt.IsNil)
-	n := &needyTarget{address: l.Addr().String(), passedOn: map[string]time.Time{}}
+	n := &needyTarget{address: l.Addr().String(), serviceTime: serviceTime, passedOn: map[string]time.Time{}}
 	n.server = &http.Server{Handler: n, ReadHeaderTimeout: time.Second}
 	go n.server.Serve(l)
 	t.Cleanup(func() { n.server.Close() })
@@ -80,7 +79,7 @@
 	n.mu.Lock()
 	n.arrivals = append(n.arrivals, arrival{time.Now(), r.URL.Query().Get("entry"), time.Unix(0, sent)})
 	n.mu.Unlock()
-	time.Sleep(needyServiceTime)
+	time.Sleep(n.serviceTime)
 	h := w.Header()
 	h.Set("Request-Id", r.Header.Get("Request-Id"))
 	h.Set("Response-Signature", "s")
@@ -229,6 +228,9 @@
 	}
 }
 
+// needyEntries is the number of entry nodes.
+const needyEntries = 4
+
 // needyFleet is a replica, the node beside a needy target, and entry nodes.
 type needyFleet struct {
 	*interfaceFleet
@@ -240,10 +242,10 @@
 
 // newNeedyFleet starts the fleet and waits until every entry node serves. Half of the
 // entry nodes are in another data centre.
-func newNeedyFleet(t *testing.T, s interfaceDriver, entries int) *needyFleet {
-	target := newNeedyTarget(t)
+func newNeedyFleet(t *testing.T, s interfaceDriver, serviceTime time.Duration) *needyFleet {
+	target := newNeedyTarget(t, serviceTime)
 	f := &needyFleet{interfaceFleet: newInterfaceFleet(t, s, target.address), driver: s, target: target}
-	for i := range entries {
+	for i := range needyEntries {
 		e := *f.interfaceFleet.node
 		e.Instance = fmt.Sprintf("entry%d", i)
 		e.Peer, e.Listen, e.Ready, e.Admin, e.Control = addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next()
@@ -310,7 +312,7 @@
 		t.Run(c.limit, func(t *testing.T) {
 			t.Parallel()
 			forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
-				f := newNeedyFleet(t, s, 4)
+				f := newNeedyFleet(t, s, 10*time.Millisecond)
 				end := f.load(c.load)
 				f.target.state(c.limit, false)
 				named := time.Now()
@@ -336,11 +338,12 @@
 func sentAt(a arrival) time.Time    { return a.sentAt }
 
 // TestRestartedNodeForgetsLimit guards against a target that gets more than its limit
-// after the node beside it has started again and has forgotten the limit.
+// after the node beside it has started again and has forgotten the limit: many requests
+// may begin before the first answer names it again.
 func TestRestartedNodeForgetsLimit(t *testing.T) {
 	t.Parallel()
 	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
-		f := newNeedyFleet(t, s, 4)
+		f := newNeedyFleet(t, s, 400*time.Millisecond)
 		end := f.load(200)
 		f.target.state("1", false)
 		named := time.Now()
@@ -360,7 +363,7 @@
 func TestLeavingTargetGetsRequests(t *testing.T) {
 	t.Parallel()
 	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
-		f := newNeedyFleet(t, s, 4)
+		f := newNeedyFleet(t, s, 10*time.Millisecond)
 		end := f.load(100)
 		f.target.state("", true)
 		time.Sleep(leavingDrain)
