Router, announcer: a target that states in an answer that it leaves gets no new requests

What callers' nodes cause: a target whose answers state that it leaves, while its reports go on saying that it is ready, gets requests that were sent more than 2 s later from nodes that had passed the statement on (TestLeavingTargetGetsRequests). Cause: as for the limit, what a target states in an answer was forwarded and not read; only its reports counted.

The target's node takes the statement like a report that the target leaves. Entry nodes remember it by life and send nothing more to that life, whatever the gossip or a late report says, also when the node beside the target has started again and believes its reports. The next life is used as before.

--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -84,6 +84,9 @@
 	// CheckTarget is called when the target's connection broke or the target could
 	// not be reached.
 	CheckTarget func(*Target)
+	// TargetLeaving is called for each answer in which the target states that it
+	// leaves.
+	TargetLeaving func(*Target)
 	// RecordSuccess is called with the digest of each request that the target
 	// answered with a status below 400.
 	RecordSuccess func(digest []byte)
--- a/pkg/forwarder/target_state.go
+++ b/pkg/forwarder/target_state.go
@@ -48,6 +48,9 @@
 			f.applyTargetLimit(target.Life)
 		}
 	}
+	if inForce.Leaving() {
+		f.deps.TargetLeaving(x.target)
+	}
 }
 
 // adoptLimit takes the limit of the own target that the sender of a hop has learned.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -97,6 +97,8 @@
 	loadReported time.Time
 	// statements holds what the target states about itself.
 	statements pacer.Tracker
+	// leavingLife is the life of the target that states that it leaves, if any.
+	leavingLife string
 	// pausedUntil is when the target may next have room in the limit that it names.
 	pausedUntil time.Time
 }
@@ -155,7 +157,7 @@
 }
 
 // Choose returns the entry of a target among the members of a service, or nil if
-// there are no members. It prefers targets that were not tried for this request
+// there are no members but such as leave. It prefers targets that were not tried for this request
 // and, unless the targets there are full or slow, the node's own data centre. The caller
 // must not change the list afterwards, as the router recognizes a new list by its
 // address and length.
@@ -180,8 +182,11 @@
 			return r.begin(remote, now)
 		}
 	}
-	// No candidate is usable. Trying any member is better than failing.
-	return r.begin(r.fallback(members, now), now)
+	// No candidate is usable. Trying any member that stays is better than failing.
+	if e := r.fallback(members, now); e != nil {
+		return r.begin(e, now)
+	}
+	return nil
 }
 
 // begin counts a request in flight to the target and returns the target's entry.
@@ -211,10 +216,10 @@
 
 // usable reports whether requests may go to the target. After an ejection ends,
 // only one request at a time may go there until one succeeds. To a silent data
-// centre only probes may go.
+// centre only probes may go, and to a target that leaves nothing.
 func (r *Router) usable(e *control.Entry, now time.Time) bool {
 	s := r.targetStats(e)
-	if !s.allowedBySilence(now) {
+	if s.isLeaving(e) || !s.allowedBySilence(now) {
 		return false
 	}
 	if s.ejectedUntil.IsZero() || !now.Before(s.ejectedUntil) {
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/primrosewall/primrosewall/pkg/pacer"
 	"github.com/primrosewall/primrosewall/pkg/router"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -203,3 +204,29 @@
 	clock.Advance(time.Second)
 	qt.Assert(t, choose(), qt.Equals, "near-1")
 }
+
+// TestLeavingLifeIsNotUsed checks that no request goes to a life of a target that
+// states that it leaves, even if it is the only one known and other nodes still tell
+// that it is ready, and that its next life is used.
+func TestLeavingLifeIsNotUsed(t *testing.T) {
+	clock := &timekeeper.Manual{}
+	clock.Advance(time.Minute)
+	r := router.New(clock, "near-0", "near", rand.New(rand.NewPCG(1, 1)))
+	leaving := &control.Entry{Instance: "near-1", Centre: "near", Slots: 20, Life: "a", State: control.State_STATE_ALIVE}
+	other := &control.Entry{Instance: "far-1", Centre: "far", Slots: 20, Life: "b", State: control.State_STATE_ALIVE}
+	qt.Assert(t, r.Choose([]*control.Entry{leaving}, nil), qt.Equals, leaving)
+	s, changed := r.RecordStatement(leaving, "a", pacer.Statement{}.WithLeaving(), clock.Now())
+	qt.Assert(t, changed, qt.IsTrue)
+	qt.Assert(t, s.Leaving(), qt.IsTrue)
+	r.RecordResult("near-1", router.Succeeded, 20*time.Millisecond)
+	qt.Assert(t, r.Choose([]*control.Entry{leaving}, nil), qt.IsNil)
+	for range 50 {
+		qt.Assert(t, r.Choose([]*control.Entry{leaving, other}, nil), qt.Equals, other)
+	}
+	// An answer that overtook the first one changes nothing.
+	_, changed = r.RecordStatement(leaving, "a", pacer.Statement{}, clock.Now())
+	qt.Assert(t, changed, qt.IsFalse)
+	qt.Assert(t, r.Choose([]*control.Entry{leaving}, nil), qt.IsNil)
+	next := &control.Entry{Instance: "near-1", Centre: "near", Slots: 20, Life: "c", State: control.State_STATE_ALIVE}
+	qt.Assert(t, r.Choose([]*control.Entry{next}, nil), qt.Equals, next)
+}
--- a/pkg/router/silence.go
+++ b/pkg/router/silence.go
@@ -145,13 +145,21 @@
 	return silent
 }
 
-// fallback returns a random member, if possible one outside silent data centres.
+// fallback returns a random member that stays, if possible one outside silent data
+// centres; nil if all leave.
 func (r *Router) fallback(members []*control.Entry, now time.Time) *control.Entry {
 	first := r.random.IntN(len(members))
+	var silent *control.Entry
 	for i := range members {
-		if e := members[(first+i)%len(members)]; r.targetStats(e).allowedBySilence(now) {
+		e := members[(first+i)%len(members)]
+		s := r.targetStats(e)
+		switch {
+		case s.isLeaving(e):
+		case s.allowedBySilence(now):
 			return e
+		case silent == nil:
+			silent = e
 		}
 	}
-	return members[first]
+	return silent
 }
--- a/pkg/router/statements.go
+++ b/pkg/router/statements.go
@@ -56,7 +56,17 @@
 // in force and whether it changed.
 func (r *Router) RecordStatement(e *control.Entry, life string, s pacer.Statement, sentAt time.Time) (inForce pacer.Statement, changed bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	stats := r.targetStats(e)
-	r.mu.Unlock()
-	return stats.statements.Record(life, s, sentAt, r.clock.Now())
+	inForce, changed = stats.statements.Record(life, s, sentAt, r.clock.Now())
+	if changed && inForce.Leaving() {
+		stats.leavingLife = life
+	}
+	return inForce, changed
+}
+
+// isLeaving reports whether this life of the target states that it leaves, whatever
+// other nodes tell of it: they may know only its earlier reports.
+func (s *targetStats) isLeaving(e *control.Entry) bool {
+	return s.leavingLife != "" && s.leavingLife == e.Life
 }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -263,8 +263,9 @@
 		Targets:           s.directory.targets,
 		Target:            func() *forwarder.Target { return s.announcer.Target() },
 		Ready:             s.ready, InContact: s.inContact, Behind: s.fetcher.Behind, Changed: s.fetcher.Changed,
-		CheckTarget: func(t *forwarder.Target) { s.announcer.CheckTarget(t) },
-		CountBytes:  s.traffic.countRequest, Retries: s.retryBounds, RecordSuccess: s.recordSuccess, Draining: s.draining.Load,
+		CheckTarget:   func(t *forwarder.Target) { s.announcer.CheckTarget(t) },
+		TargetLeaving: func(t *forwarder.Target) { s.announcer.Leave(t.Life, s.live.Load().Drain.Duration) },
+		CountBytes:    s.traffic.countRequest, Retries: s.retryBounds, RecordSuccess: s.recordSuccess, Draining: s.draining.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 }
--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -50,7 +50,9 @@
 	// address is where the target listens.
 	address    string
 	heartbeats int
-	iface      *server.Interface
+	// starts counts the starts of the target after the first.
+	starts atomic.Int64
+	iface  *server.Interface
 }
 
 // echoTarget is a target whose responses suit both interfaces: it sends the
@@ -235,7 +237,7 @@
 }
 
 func (nativeDriver) announcement(f *interfaceFleet, leaving bool) *http.Request {
-	method, body := http.MethodPut, fmt.Sprintf(`{"service":"echo","address":%q,"slots":%d,"life":"a"}`, f.address, testSlots)
+	method, body := http.MethodPut, fmt.Sprintf(`{"service":"echo","address":%q,"slots":%d,"life":"life%d"}`, f.address, testSlots, f.starts.Load())
 	if leaving {
 		method = http.MethodDelete
 	}
@@ -291,8 +293,8 @@
 	if leaving {
 		state = "draining"
 	}
-	body := fmt.Sprintf(`{"address":%q,"born":1700,"info":{"service":"echo","slots":%d},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
-		f.address, testSlots, state, f.heartbeats)
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"echo","slots":%d},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
+		f.address, 1700+f.starts.Load(), testSlots, state, f.heartbeats)
 	r, _ := http.NewRequest(http.MethodPost, "http://"+f.node.Control+"/Instances.Heartbeat/i-1", strings.NewReader(body))
 	r.Header.Set("Content-Type", "application/json")
 	return r
--- a/test/target_limit_test.go
+++ b/test/target_limit_test.go
@@ -359,7 +359,7 @@
 
 // TestLeavingTargetGetsRequests guards against requests to a target whose answers
 // state that it leaves, while its reports still say that it is ready, also when the
-// node beside it starts again.
+// node beside it starts again. The next life of the target is used again.
 func TestLeavingTargetGetsRequests(t *testing.T) {
 	t.Parallel()
 	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
@@ -369,8 +369,13 @@
 		time.Sleep(leavingDrain)
 		f.restartNode(t)
 		time.Sleep(leavingDrain + time.Second)
-		end()
 		got := len(f.target.counted(leavingDrain, sentAt))
+		end()
 		qt.Check(t, got, qt.Equals, 0)
+		f.target.state("", false)
+		f.starts.Add(1)
+		for _, e := range f.entries {
+			f.sendUntil(t, func() *http.Request { return s.request(e, "/open/x", "") }, hasStatus(http.StatusOK))
+		}
 	})
 }
