--- a/pkg/admitter/target_limit_test.go
+++ b/pkg/admitter/target_limit_test.go
@@ -142,6 +142,20 @@
 	})
 }
 
+// TestWaiterBeginsWhenLimitAllows checks that a request that waits for the limit begins
+// as soon as that allows it, without another request or answer.
+func TestWaiterBeginsWhenLimitAllows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := admitter.New(timekeeper.RuntimeClock{}, admitter.Static{})
+		a.SetSlots(50, 0)
+		a.SetTargetLimit(4, true)
+		began := time.Now()
+		_, err := a.Admit(context.Background(), "team", 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, time.Since(began) <= 251*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	})
+}
+
 // TestEndedLimitServesWaiters checks that requests that wait begin at once when the
 // target names no limit any more.
 func TestEndedLimitServesWaiters(t *testing.T) {
--- a/pkg/commander/target.go
+++ b/pkg/commander/target.go
@@ -28,6 +28,7 @@
 	f.IntVar(&o.Slots, "slots", 10, "requests that run at once")
 	f.IntVar(&o.SpareOneIn, "spare", 0, "answer one in so many crashing requests with 500 in place of a crash")
 	f.IntVar(&o.DropEvery, "drop", 0, "close the connection of every so many requests unanswered")
+	f.StringVar(&o.Limit, "limit", "", "`requests` a second that the target names as its limit")
 	f.DurationVar(&o.ServiceTime, "time", time.Millisecond, "time that a request takes")
 	f.DurationVar(&o.ColdTime, "cold", 0, "time after the start in which requests take four times as long")
 	if code, ok := t.parseFlags(f, args, 0, 0); !ok {
--- a/pkg/emulator/target.go
+++ b/pkg/emulator/target.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/announcer"
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
+	"github.com/primrosewall/primrosewall/pkg/pacer"
 )
 
 // Options configures a stand-in target.
@@ -59,6 +61,9 @@
 	// DropEvery is N: the target closes the connection of every Nth request
 	// without a response. If 0, it drops none.
 	DropEvery int
+	// Limit is the limit that the target names in its answers, a decimal number of
+	// requests a second. If empty, it names none.
+	Limit string
 }
 
 // TimePath is the path of requests that set the service time; the body is a
@@ -85,8 +90,10 @@
 	// time is the service time in nanoseconds.
 	time         atomic.Int64
 	requestCount atomic.Int64
-	server       *http.Server
-	recordFile   *os.File
+	// leaving is set when the target withdraws its announcement.
+	leaving    atomic.Bool
+	server     *http.Server
+	recordFile *os.File
 	// recordMu keeps concurrent lines of the record file apart.
 	recordMu sync.Mutex
 }
@@ -97,6 +104,11 @@
 	if _, err := rand.Read(raw[:]); err != nil {
 		return nil, err
 	}
+	if o.Limit != "" {
+		if _, err := pacer.ParseLimit(o.Limit); err != nil {
+			return nil, err
+		}
+	}
 	t := &Target{options: o, life: hex.EncodeToString(raw[:]), slots: make(chan struct{}, o.Slots)}
 	t.time.Store(int64(o.ServiceTime))
 	if o.RecordFile != "" {
@@ -126,6 +138,7 @@
 		return t.server.Close()
 	}
 	t.renewAnnouncement(ctx)
+	t.leaving.Store(true)
 	if err := t.announce(http.MethodDelete); err != nil {
 		return err
 	}
@@ -190,6 +203,7 @@
 	}
 	n := t.requestCount.Add(1)
 	t.recordRequest(r)
+	t.state(w.Header())
 	if strings.HasSuffix(r.URL.Path, crashPath) {
 		if t.options.SpareOneIn == 0 || mathrand.IntN(t.options.SpareOneIn) > 0 {
 			os.Exit(3)
@@ -216,6 +230,16 @@
 	t.respond(w, r, bodySize)
 }
 
+// state adds to the headers of an answer what the target states about itself.
+func (t *Target) state(h http.Header) {
+	if t.options.Limit != "" {
+		h.Set(forwarder.HeaderLimit, t.options.Limit)
+	}
+	if t.leaving.Load() {
+		h.Set(forwarder.HeaderLeaving, "1")
+	}
+}
+
 // handleSetTime sets the service time of later requests.
 func (t *Target) handleSetTime(w http.ResponseWriter, r *http.Request) {
 	text, err := io.ReadAll(r.Body)
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"log/slog"
@@ -264,7 +265,7 @@
 		Target:            func() *forwarder.Target { return s.announcer.Target() },
 		Ready:             s.ready, InContact: s.inContact, Behind: s.fetcher.Behind, Changed: s.fetcher.Changed,
 		CheckTarget:   func(t *forwarder.Target) { s.announcer.CheckTarget(t) },
-		TargetLeaving: func(t *forwarder.Target) { s.announcer.Leave(t.Life, s.live.Load().Drain.Duration) },
+		TargetLeaving: s.targetLeaving,
 		CountBytes:    s.traffic.countRequest, Retries: s.retryBounds, RecordSuccess: s.recordSuccess, Draining: s.draining.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
@@ -352,6 +353,12 @@
 	})
 }
 
+// targetLeaving stops new work for a target that states that it leaves. Requests from
+// nodes that do not know it yet are still served for the drain time.
+func (s *Server) targetLeaving(t *forwarder.Target) {
+	s.announcer.Leave(t.Life, cmp.Or(s.live.Load().Drain.Duration, announcer.LeavePropagationDelay))
+}
+
 // TargetCrashed implements announcer.Listener. It announces the requests that were
 // running, so that all nodes count crashes per request.
 func (s *Server) TargetCrashed(t *forwarder.Target) {
