--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -157,10 +157,10 @@
 }
 
 // Choose returns the entry of a target among the members of a service, or nil if
-// there are no members but such as leave. It prefers targets that were not tried for this request
-// and, unless the targets there are full or slow, the node's own data centre. The caller
-// must not change the list afterwards, as the router recognizes a new list by its
-// address and length.
+// there are none, or only such as leave. It prefers targets that were not tried for
+// this request and, unless the targets there are full or slow, the node's own data
+// centre. The caller must not change the list afterwards, as the router recognizes a
+// new list by its address and length.
 func (r *Router) Choose(members []*control.Entry, tried map[string]bool) *control.Entry {
 	if len(members) == 0 {
 		return nil
