--- a/pkg/forwarder/target_state.go
+++ b/pkg/forwarder/target_state.go
@@ -97,11 +97,11 @@
 }
 
 // logTargetState logs what a target states from now on, and how this node learned it.
-// at is the target's instance; empty for the own one.
-func (f *Forwarder) logTargetState(id, at, life string, s pacer.Statement, source string, age time.Duration) {
+// target is the target's instance; empty for the own one.
+func (f *Forwarder) logTargetState(id, target, life string, s pacer.Statement, source string, age time.Duration) {
 	rate, limited := s.Limit()
 	f.count("target_state")
-	f.deps.Log.Info("target_state", "id", id, "at", at, "life", life, "limited", limited, "rate", rate,
+	f.deps.Log.Info("target_state", "id", id, "target", target, "life", life, "limited", limited, "rate", rate,
 		"leaving", s.Leaving(), "source", source, "age", age)
 }
 
