--- a/test/boundary_test.go
+++ b/test/boundary_test.go
@@ -15,7 +15,7 @@
 // platformNames matches names that belong to the users' platform. Only platform/,
 // deploy/, docs/PLATFORM.md and docs/incidents/ may contain them.
 var platformNames = regexp.MustCompile(`Instances\.(Heartbeat|Deregister)|Config\.(Put|Get)|Base-Version|Expected-Instance|Deadline-Ms|` +
-	`Not-Executed|Response-Signature|Caller-Service|cold_remaining|traffic_split|path_prefix|target_latency|rate_per_s|api_keys|` +
+	`Not-Executed|Response-Signature|Server-Limit|Server-Leaving|Caller-Service|cold_remaining|traffic_split|path_prefix|target_latency|rate_per_s|api_keys|` +
 	`control_plane|app_address|internal_ports|heartbeat_address`)
 
 // TestPlatformNamesStayInTheirFolder checks that the other source files and pages
--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -31,6 +31,9 @@
 	declare(t *testing.T, f *interfaceFleet)
 	// announcement is a message of the target to its node.
 	announcement(f *interfaceFleet, leaving bool) *http.Request
+	// answer adds to the headers of an answer what the target must send, and what it
+	// states: a limit, if not empty, and whether it leaves.
+	answer(h http.Header, r *http.Request, limit string, leaving bool)
 	// request is a request of a caller at a node.
 	request(entry *configurer.Settings, path, key string) *http.Request
 }
@@ -82,8 +85,7 @@
 			e.sawKey.Store(true)
 		}
 	}
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	w.Header().Set("Response-Signature", "s")
+	platformDriver{}.answer(w.Header(), r, "", false)
 	body, _ := io.ReadAll(r.Body)
 	fmt.Fprintf(w, "%s %s %d", r.Method, r.URL.Path, len(body))
 }
@@ -245,6 +247,15 @@
 	return r
 }
 
+func (nativeDriver) answer(h http.Header, _ *http.Request, limit string, leaving bool) {
+	if limit != "" {
+		h.Set("Primrose-Limit", limit)
+	}
+	if leaving {
+		h.Set("Primrose-Leaving", "1")
+	}
+}
+
 func (nativeDriver) request(entry *configurer.Settings, path, key string) *http.Request {
 	r, _ := http.NewRequest(http.MethodGet, "http://"+entry.Listen+path, nil)
 	if key != "" {
@@ -300,6 +311,17 @@
 	return r
 }
 
+func (platformDriver) answer(h http.Header, r *http.Request, limit string, leaving bool) {
+	h.Set("Request-Id", r.Header.Get("Request-Id"))
+	h.Set("Response-Signature", "s")
+	if limit != "" {
+		h.Set("Server-Limit", limit)
+	}
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
+}
+
 func (platformDriver) request(entry *configurer.Settings, path, key string) *http.Request {
 	r, _ := http.NewRequest(http.MethodGet, "http://"+entry.Listen+path, nil)
 	r.Host = "a.example"
--- a/test/target_limit_soak_test.go
+++ b/test/target_limit_soak_test.go
@@ -104,7 +104,7 @@
 }
 
 func soakTargetLimit(t *testing.T, seed uint64) {
-	target := newNeedyTarget(t, soakServiceTime)
+	target := newNeedyTarget(t, nativeDriver{}, soakServiceTime)
 	f := newFleet(t)
 	replica := f.add("replica", "east", true)
 	own := f.add("own", "east", false)
--- a/test/target_limit_test.go
+++ b/test/target_limit_test.go
@@ -39,9 +39,9 @@
 	sentAt time.Time
 }
 
-// needyTarget is a target whose answers state a limit or that it leaves, for both
-// interfaces.
+// needyTarget is a target whose answers state a limit or that it leaves.
 type needyTarget struct {
+	driver      interfaceDriver
 	address     string
 	server      *http.Server
 	serviceTime time.Duration
@@ -56,10 +56,10 @@
 }
 
 // newNeedyTarget starts a target that takes so long for a request.
-func newNeedyTarget(t *testing.T, serviceTime time.Duration) *needyTarget {
+func newNeedyTarget(t *testing.T, s interfaceDriver, serviceTime time.Duration) *needyTarget {
 	l, err := net.Listen("tcp", addresses.Next())
 	qt.Assert(t, err, qt.IsNil)
-	n := &needyTarget{address: l.Addr().String(), serviceTime: serviceTime, passedOn: map[string]time.Time{}}
+	n := &needyTarget{driver: s, address: l.Addr().String(), serviceTime: serviceTime, passedOn: map[string]time.Time{}}
 	n.server = &http.Server{Handler: n, ReadHeaderTimeout: time.Second}
 	go n.server.Serve(l)
 	t.Cleanup(func() { n.server.Close() })
@@ -81,19 +81,10 @@
 	n.arrivals = append(n.arrivals, arrival{time.Now(), r.URL.Query().Get("entry"), time.Unix(0, sent)})
 	n.mu.Unlock()
 	time.Sleep(n.serviceTime)
-	h := w.Header()
-	h.Set("Request-Id", r.Header.Get("Request-Id"))
-	h.Set("Response-Signature", "s")
 	n.mu.Lock()
-	if n.limit != "" {
-		h.Set("Server-Limit", n.limit)
-		h.Set("Primrose-Limit", n.limit)
-		h.Set("X-Stated", "1")
-	}
-	if n.leaving {
-		h.Set("Server-Leaving", "1")
-		h.Set("Primrose-Leaving", "1")
-		h.Set("X-Stated", "1")
+	n.driver.answer(w.Header(), r, n.limit, n.leaving)
+	if n.limit != "" || n.leaving {
+		w.Header().Set("X-Stated", "1")
 	}
 	n.mu.Unlock()
 	io.WriteString(w, "GET /")
@@ -248,7 +239,7 @@
 // newNeedyFleet starts the fleet and waits until every entry node serves. Half of the
 // entry nodes are in another data centre.
 func newNeedyFleet(t *testing.T, s interfaceDriver, serviceTime time.Duration) *needyFleet {
-	target := newNeedyTarget(t, serviceTime)
+	target := newNeedyTarget(t, s, serviceTime)
 	f := &needyFleet{interfaceFleet: newInterfaceFleet(t, s, target.address), driver: s, target: target}
 	for i := range needyEntries {
 		e := *f.interfaceFleet.node
