--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -29,7 +29,7 @@
 	HeaderWait = "Primrose-Wait"
 	// HeaderID carries the request id that is logged.
 	HeaderID = "Primrose-Id"
-	// HeaderLimit names the limit of a target in need, in requests a second, in its
+	// HeaderLimit names the limit of an overloaded target, in requests a second, in its
 	// answers and between nodes.
 	HeaderLimit = "Primrose-Limit"
 	// HeaderLeaving marks the answers of a target that leaves, with the value 1.
--- a/pkg/forwarder/target_state.go
+++ b/pkg/forwarder/target_state.go
@@ -33,7 +33,7 @@
 
 // recordStatement takes what the own target states in a response to a request that
 // was delivered at sentAt. A limit that cannot be read leaves the one in force as it
-// is, since the target is still in need.
+// is, since the target still means to name one.
 func (f *Forwarder) recordStatement(x *Exchange, r *http.Response, sentAt time.Time) {
 	s, err := f.deps.Dialect.Statement(r)
 	life := x.target.Life
--- a/pkg/pacer/doc.go
+++ b/pkg/pacer/doc.go
@@ -1,5 +1,6 @@
 // Package pacer holds what a target states about itself in its answers, and decides
-// by it how fast requests may begin at the target. A target in need names a limit,
-// the requests a second that it takes from all nodes together; a target that leaves
-// says so. The package reads no clock and opens no socket: callers pass the time.
+// by it how fast requests may begin at the target. An overloaded target may name a
+// limit, the requests a second that it takes from all nodes together; a target that
+// leaves says so. The package reads no clock and opens no socket: callers pass the
+// time.
 package pacer
--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -21,7 +21,7 @@
 
 // Pacer decides when requests may begin at a target, so that the target gets no more
 // of them than the limit that it names. Load answered: several entry nodes together
-// send a target in need many times its limit. The zero value names no limit. A Pacer
+// send an overloaded target many times its limit. The zero value names no limit. A Pacer
 // is not safe for concurrent use.
 type Pacer struct {
 	limited bool
--- a/test/target_limit_soak_test.go
+++ b/test/target_limit_soak_test.go
@@ -104,7 +104,7 @@
 }
 
 func soakTargetLimit(t *testing.T, seed uint64) {
-	target := newNeedyTarget(t, nativeDriver{}, soakServiceTime)
+	target := newLimitedTarget(t, nativeDriver{}, soakServiceTime)
 	f := newFleet(t)
 	replica := f.add("replica", "east", true)
 	own := f.add("own", "east", false)
@@ -136,7 +136,7 @@
 	time.Sleep(limitSettles)
 	disturbances := []*soakNode{
 		{node: own, disturbed: func() {}},
-		{node: entries[0], disturbed: func() { target.forgive(entries[0].name) }},
+		{node: entries[0], disturbed: func() { target.excuse(entries[0].name) }},
 	}
 	for i, s := range disturbances {
 		s.random, s.ended, s.done = rand.New(rand.NewPCG(seed, uint64(i))), ended, make(chan struct{})
--- a/test/target_limit_test.go
+++ b/test/target_limit_test.go
@@ -39,8 +39,8 @@
 	sentAt time.Time
 }
 
-// needyTarget is a target whose answers state a limit or that it leaves.
-type needyTarget struct {
+// limitedTarget is a target whose answers state a limit or that it leaves.
+type limitedTarget struct {
 	driver      interfaceDriver
 	address     string
 	server      *http.Server
@@ -55,11 +55,11 @@
 	passedOn map[string]time.Time
 }
 
-// newNeedyTarget starts a target that takes so long for a request.
-func newNeedyTarget(t *testing.T, s interfaceDriver, serviceTime time.Duration) *needyTarget {
+// newLimitedTarget starts a target that takes so long for a request.
+func newLimitedTarget(t *testing.T, s interfaceDriver, serviceTime time.Duration) *limitedTarget {
 	l, err := net.Listen("tcp", addresses.Next())
 	qt.Assert(t, err, qt.IsNil)
-	n := &needyTarget{driver: s, address: l.Addr().String(), serviceTime: serviceTime, passedOn: map[string]time.Time{}}
+	n := &limitedTarget{driver: s, address: l.Addr().String(), serviceTime: serviceTime, passedOn: map[string]time.Time{}}
 	n.server = &http.Server{Handler: n, ReadHeaderTimeout: time.Second}
 	go n.server.Serve(l)
 	t.Cleanup(func() { n.server.Close() })
@@ -67,7 +67,7 @@
 }
 
 // state sets what later answers state: a limit, if not empty, and leaving.
-func (n *needyTarget) state(limit string, leaving bool) {
+func (n *limitedTarget) state(limit string, leaving bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.limit, n.leaving = limit, leaving
@@ -75,7 +75,7 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (n *needyTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (n *limitedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	sent, _ := strconv.ParseInt(r.URL.Query().Get("sent"), 10, 64)
 	n.mu.Lock()
 	n.arrivals = append(n.arrivals, arrival{time.Now(), r.URL.Query().Get("entry"), time.Unix(0, sent)})
@@ -90,9 +90,9 @@
 	io.WriteString(w, "GET /")
 }
 
-// forgive forgets that an entry node has passed on a statement, as it was frozen or
+// excuse forgets that an entry node has passed on a statement, as it was frozen or
 // started again.
-func (n *needyTarget) forgive(entry string) {
+func (n *limitedTarget) excuse(entry string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.passedOn, entry)
@@ -100,7 +100,7 @@
 }
 
 // recordPassedOn records that a caller got an answer that states something.
-func (n *needyTarget) recordPassedOn(entry string) {
+func (n *limitedTarget) recordPassedOn(entry string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, ok := n.passedOn[entry]; !ok {
@@ -110,7 +110,7 @@
 
 // counted returns the times of the arrivals from nodes that had passed on a statement
 // so long before.
-func (n *needyTarget) counted(age time.Duration, timeOf func(arrival) time.Time) []time.Time {
+func (n *limitedTarget) counted(age time.Duration, timeOf func(arrival) time.Time) []time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var list []time.Time
@@ -123,7 +123,7 @@
 }
 
 // arrivedTimes returns the times of all arrivals.
-func (n *needyTarget) arrivedTimes() []time.Time {
+func (n *limitedTarget) arrivedTimes() []time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var list []time.Time
@@ -162,7 +162,7 @@
 // callers sends requests at a constant mean rate to one entry node.
 type callers struct {
 	driver interfaceDriver
-	target *needyTarget
+	target *limitedTarget
 	entry  *configurer.Settings
 	rate   float64
 	ended  chan struct{}
@@ -170,7 +170,7 @@
 	done   sync.WaitGroup
 }
 
-func newCallers(s interfaceDriver, target *needyTarget, entry *configurer.Settings, rate float64, ended chan struct{}) *callers {
+func newCallers(s interfaceDriver, target *limitedTarget, entry *configurer.Settings, rate float64, ended chan struct{}) *callers {
 	client := &http.Client{Timeout: waitTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	return &callers{driver: s, target: target, entry: entry, rate: rate, ended: ended, client: client}
 }
@@ -224,24 +224,24 @@
 	}
 }
 
-// needyEntries is the number of entry nodes.
-const needyEntries = 4
+// entryCount is the number of entry nodes.
+const entryCount = 4
 
-// needyFleet is a replica, the node beside a needy target, and entry nodes.
-type needyFleet struct {
+// limitedFleet is a replica, the node beside a limited target, and entry nodes.
+type limitedFleet struct {
 	*interfaceFleet
 	driver  interfaceDriver
-	target  *needyTarget
+	target  *limitedTarget
 	entries []*configurer.Settings
 	callers []*callers
 }
 
-// newNeedyFleet starts the fleet and waits until every entry node serves. Half of the
+// newLimitedFleet starts the fleet and waits until every entry node serves. Half of the
 // entry nodes are in another data centre.
-func newNeedyFleet(t *testing.T, s interfaceDriver, serviceTime time.Duration) *needyFleet {
-	target := newNeedyTarget(t, s, serviceTime)
-	f := &needyFleet{interfaceFleet: newInterfaceFleet(t, s, target.address), driver: s, target: target}
-	for i := range needyEntries {
+func newLimitedFleet(t *testing.T, s interfaceDriver, serviceTime time.Duration) *limitedFleet {
+	target := newLimitedTarget(t, s, serviceTime)
+	f := &limitedFleet{interfaceFleet: newInterfaceFleet(t, s, target.address), driver: s, target: target}
+	for i := range entryCount {
 		e := *f.interfaceFleet.node
 		e.Instance = fmt.Sprintf("entry%d", i)
 		e.Peer, e.Listen, e.Ready, e.Admin, e.Control = addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next()
@@ -267,7 +267,7 @@
 
 // load starts callers that together send so many requests a second. The function that
 // it returns ends them.
-func (f *needyFleet) load(rate float64) (end func()) {
+func (f *limitedFleet) load(rate float64) (end func()) {
 	ended := make(chan struct{})
 	f.callers = nil
 	for _, e := range f.entries {
@@ -305,7 +305,7 @@
 		t.Run(c.limit, func(t *testing.T) {
 			t.Parallel()
 			forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
-				f := newNeedyFleet(t, s, 10*time.Millisecond)
+				f := newLimitedFleet(t, s, 10*time.Millisecond)
 				end := f.load(c.load)
 				f.target.state(c.limit, false)
 				named := time.Now()
@@ -336,7 +336,7 @@
 func TestRestartedNodeForgetsLimit(t *testing.T) {
 	t.Parallel()
 	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
-		f := newNeedyFleet(t, s, 400*time.Millisecond)
+		f := newLimitedFleet(t, s, 400*time.Millisecond)
 		end := f.load(200)
 		f.target.state("1", false)
 		named := time.Now()
@@ -356,7 +356,7 @@
 func TestLeavingTargetGetsRequests(t *testing.T) {
 	t.Parallel()
 	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
-		f := newNeedyFleet(t, s, 10*time.Millisecond)
+		f := newLimitedFleet(t, s, 10*time.Millisecond)
 		end := f.load(100)
 		f.target.state("", true)
 		time.Sleep(leavingDrain)
