--- a/test/target_limit_test.go
+++ b/test/target_limit_test.go
@@ -350,6 +350,26 @@
 	})
 }
 
+// TestLateReportEndsLimit guards against a target that gets more than its limit when the
+// report of its newer life arrives late: its answers have named the limit all the time,
+// and many requests may begin before the first answer under the new life's name.
+func TestLateReportEndsLimit(t *testing.T) {
+	t.Parallel()
+	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
+		f := newLimitedFleet(t, s, 400*time.Millisecond)
+		end := f.load(200)
+		f.target.state("1", false)
+		named := time.Now()
+		time.Sleep(limitSettles + time.Second)
+		f.starts.Add(1)
+		time.Sleep(limitWindow)
+		end()
+		got := mostInWindow(f.target.counted(limitKnown, arrivedAt), named.Add(limitSettles), limitWindow)
+		qt.Check(t, got <= limitAllows(1), qt.IsTrue, qt.Commentf("got %d in %v, allowed %d", got, limitWindow, limitAllows(1)))
+		qt.Check(t, got > 0, qt.IsTrue)
+	})
+}
+
 // TestLeavingTargetGetsRequests guards against requests to a target whose answers
 // state that it leaves, while its reports still say that it is ready, also when the
 // node beside it starts again. The next life of the target is used again.
