Pacer: the limit of a life holds until the next life has answered

Cause: statements are kept by life, and a target's new life is known only from its report, seconds late at worst; that dropped a limit which the new life's own answers had named, until its first answer under the new name.

The tracker keeps the limit, not the word that a target leaves, until the new life's first answer, which counts whatever it says. A target that starts again without a limit is held back for one answer.

--- a/pkg/pacer/statement.go
+++ b/pkg/pacer/statement.go
@@ -34,6 +34,12 @@
 	return s
 }
 
+// limitOnly returns the statement without the word that the target leaves.
+func (s Statement) limitOnly() Statement {
+	s.leaving = false
+	return s
+}
+
 // Limit returns the limit that the target names, in requests a second, and whether
 // it names one.
 func (s Statement) Limit() (rate float64, limited bool) { return s.rate, s.limited }
--- a/pkg/pacer/tracker.go
+++ b/pkg/pacer/tracker.go
@@ -57,9 +57,11 @@
 	return t.statement, true
 }
 
-// begin forgets what an earlier life has stated.
+// begin begins a life. It leaves no more, but the limit of the life before holds until
+// the first answer: the new life may have named it already, in answers that arrived
+// before the report of its start.
 func (t *Tracker) begin(life string, now time.Time) {
-	t.life, t.statement, t.since, t.answered = life, Statement{}, now, false
+	t.life, t.statement, t.since, t.answered = life, t.statement.limitOnly(), now, false
 }
 
 // InForce returns the statement in force and the life that it is about; before the
@@ -70,13 +72,13 @@
 	return t.life, t.statement
 }
 
-// Current returns the statement in force of a life, the zero value for another life
-// than the one that stated last.
+// Current returns the statement in force of a life. For another life than the one that
+// stated last it is the limit of that one.
 func (t *Tracker) Current(life string) Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if life != t.life {
-		return Statement{}
+		return t.statement.limitOnly()
 	}
 	return t.statement
 }
