--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -24,6 +24,8 @@
 	boundGrace           = 6 * time.Second
 	boundStabilityWindow = 3 * time.Second
 	heartbeatInterval    = 1500 * time.Millisecond
+	// metricsPort is the port of the metrics in the deploy file.
+	metricsPort = ":9464"
 	// restartDelay is the pause before a process that has ended starts again.
 	restartDelay = 300 * time.Millisecond
 )
@@ -66,10 +68,11 @@
 // platform is a stand-in for the platform: it renders the settings, starts, signals
 // and restarts processes.
 type platform struct {
-	record   *recorder
-	folder   string
-	root     string
-	subnet   int
+	record *recorder
+	folder string
+	root   string
+	// network is the first three bytes of the machines' addresses.
+	network  string
 	machines []*machine
 	seeds    []string
 	ports    map[string]int
@@ -81,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{record: record, folder: folder, root: root, subnet: 10 + rand.IntN(200)}
+	p := &platform{record: record, folder: folder, root: root, network: fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), rand.IntN(250))}
 	base := 20000 + 100*rand.IntN(90)
 	p.ports = map[string]int{"outbound": base, "inbound": base + 1, "ready": base + 2, "control": base + 3, "app": base + 4, "internal": base + 5}
 	return p, nil
@@ -92,7 +95,7 @@
 // add adds a machine; service is empty for a core machine.
 func (p *platform) add(name, zone, service string) *machine {
 	m := &machine{platform: p, name: name, zone: zone, service: service, role: "node", bootstrap: true}
-	m.ip = fmt.Sprintf("127.%d.0.%d", p.subnet, 10+len(p.machines))
+	m.ip = fmt.Sprintf("%s.%d", p.network, 10+len(p.machines))
 	if service == "" {
 		m.role = "replica"
 		p.seeds = append(p.seeds, p.address(m.ip, "control"))
@@ -192,7 +195,7 @@
 	if err != nil || len(lines) == 0 {
 		return ""
 	}
-	return "; last log line: " + lines[len(lines)-1]
+	return "; last log line: " + strings.ReplaceAll(lines[len(lines)-1], m.platform.folder, "FOLDER")
 }
 
 func (m *machine) signal(s syscall.Signal) {
@@ -258,12 +261,9 @@
 // free reports whether the addresses of all machines are free.
 func (p *platform) free() bool {
 	for _, m := range p.machines {
-		for name := range p.ports {
-			if name == "app" {
-				// The stand-in server listens already.
-				continue
-			}
-			l, err := net.Listen("tcp", m.at(name))
+		// The stand-in servers listen at their ports already.
+		for _, address := range []string{m.at("outbound"), m.at("ready"), m.at("control"), m.at("internal"), m.ip + metricsPort} {
+			l, err := net.Listen("tcp", address)
 			if err != nil {
 				return false
 			}
--- a/review/standin/queue.go
+++ b/review/standin/queue.go
@@ -12,22 +12,26 @@
 	// up to twice as long, and queueSlowness times as long while it is slow.
 	queueSlots    = 12
 	queueWork     = 250 * time.Millisecond
-	queueSlowness = 10
+	queueSlowness = 12
+	// leaveGap is the pause between the servers that leave.
+	leaveGap = 2200 * time.Millisecond
 )
 
-// playQueue has a server leave as planned while the servers of its service are slow, so
-// that requests wait for its slots on the node beside it when it reports that it is
+// playQueue has two servers leave as planned while the servers of its service are slow, so
+// that requests wait for their slots on the nodes beside them when they report that they are
 // draining.
 func playQueue(p *platform, trouble bool) (result, error) {
 	for _, zone := range []string{"a", "b", "c"} {
 		p.add("core-"+zone, zone, "")
 	}
-	leavingNode := p.add("node-a", "a", "bookings")
-	other := p.add("node-b", "b", "bookings")
-	entry := p.add("node-c", "a", "desk")
+	nodes := []*machine{p.add("node-a", "a", "bookings"), p.add("node-b", "a", "bookings"), p.add("node-f", "b", "bookings"), p.add("node-g", "c", "bookings")}
+	entries := []*machine{p.add("node-c", "a", "desk"), p.add("node-d", "a", "desk"), p.add("node-e", "a", "desk")}
 	collected := &runs{}
-	leaving := newServer(leavingNode, collected, "i-1")
-	for _, s := range []*server{leaving, newServer(other, collected, "i-2"), newServer(entry, collected, "i-3")} {
+	var servers []*server
+	for i, m := range append(nodes, entries...) {
+		servers = append(servers, newServer(m, collected, fmt.Sprintf("i-%d", i+1)))
+	}
+	for _, s := range servers {
 		s.slots = make(chan struct{}, queueSlots)
 		if trouble {
 			s.slowness = queueSlowness
@@ -42,38 +46,59 @@
 	time.Sleep(3 * time.Second)
 	sent := &calls{}
 	leaveAt := time.Now().Add(22 * time.Second)
-	end := leaveAt.Add(8 * time.Second)
+	end := leaveAt.Add(10 * time.Second)
 	var group sync.WaitGroup
-	for i := range 8 * queueSlots {
+	for i := range 16 * queueSlots {
 		group.Go(func() {
-			c := &client{via: entry, calls: sent}
-			time.Sleep(time.Duration(i) * 80 * time.Millisecond)
+			c := &client{via: entries[i%len(entries)], calls: sent}
+			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
 			for time.Now().Before(end) {
 				c.sendAndWait("book", "POST", fmt.Sprintf("/book/%d/x", (queueWork+rand.N(queueWork)).Milliseconds()), "one booking", 10*time.Second)
 			}
 		})
 	}
-	time.Sleep(time.Until(leaveAt))
-	leaving.state.Store("draining")
-	if !leaving.report(leaving.nextReport("draining")) {
-		return result{}, fmt.Errorf("the node did not acknowledge that the server is draining")
+	leavers := []*leaver{{server: servers[0]}, {server: servers[1]}}
+	for i, l := range leavers {
+		group.Go(func() {
+			time.Sleep(time.Until(leaveAt.Add(time.Duration(i) * leaveGap)))
+			l.leave()
+		})
 	}
-	acknowledged := time.Now()
-	// It serves for drain and some seconds more, then says that it is gone and exits.
-	time.Sleep(boundDrain + 3*time.Second)
-	leaving.deregister()
-	leaving.exit()
 	group.Wait()
 	late, lost := 0, 0
-	for _, x := range collected.list {
-		if x.server != "i-1" || !x.began.After(acknowledged.Add(boundDrain)) {
-			continue
+	for _, l := range leavers {
+		if l.acknowledged.IsZero() {
+			return result{}, fmt.Errorf("the node did not acknowledge that the server is draining")
 		}
-		late++
-		if !x.answered {
-			lost++
+		for _, x := range collected.list {
+			if x.server != l.server.id || !x.began.After(l.acknowledged.Add(boundDrain)) {
+				continue
+			}
+			late++
+			if !x.answered {
+				lost++
+			}
+			p.record.printf("judge: %s reached %s %.3f s after the drain report was acknowledged, answered %t", x.id, x.server, x.began.Sub(l.acknowledged).Seconds(), x.answered)
 		}
-		p.record.printf("judge: %s reached i-1 %.3f s after the drain report was acknowledged, answered %t", x.id, x.began.Sub(acknowledged).Seconds(), x.answered)
 	}
-	return result{broken: late > 0, text: fmt.Sprintf("%d requests reached the server later than %v after it was acknowledged to be draining; %d of them were lost with it", late, boundDrain, lost)}, nil
+	return result{broken: late > 0, text: fmt.Sprintf("%d requests reached a server later than %v after it was acknowledged to be draining; %d of them were lost with it", late, boundDrain, lost)}, nil
+}
+
+// leaver is a server that leaves as planned.
+type leaver struct {
+	server       *server
+	acknowledged time.Time
+}
+
+// leave reports that the server is draining. It serves for drain and some seconds more,
+// then says that it is gone and exits.
+func (l *leaver) leave() {
+	l.server.state.Store("draining")
+	if !l.server.report(l.server.nextReport("draining")) {
+		return
+	}
+	l.acknowledged = time.Now()
+	time.Sleep(boundDrain + 3*time.Second)
+	l.server.deregister()
+	l.server.exit()
 }
