--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,7 @@
 }
 
 var cases = map[string]func(*platform, bool) (result, error){
-	"stop": playStop, "deregister": playDeregister, "queue": playQueue, "forged": playForged, "oldcall": playOldCall,
+	"stop": playStop, "deregister": playDeregister, "queue": playQueue, "crash": playCrash, "forged": playForged, "oldcall": playOldCall,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -62,6 +62,9 @@
 	state    atomic.Value
 	http     *http.Server
 	stop     context.CancelFunc
+	// crash, if set, is called with the body of each request that begins to run. If it
+	// returns true the server has crashed.
+	crash func(id string, body []byte) bool
 }
 
 func newServer(m *machine, runs *runs, id string) *server {
@@ -117,6 +120,9 @@
 	x := &run{id: id, server: s.id, began: time.Now()}
 	s.runs.add(x)
 	s.machine.platform.record.printf("server %s runs %s %s %s (%d bytes)", s.id, id, r.Method, r.URL.Path, len(body))
+	if s.crash != nil && s.crash(id, body) {
+		panic(http.ErrAbortHandler)
+	}
 	work, _ := strconv.Atoi(strings.Split(r.URL.Path+"//", "/")[2])
 	work *= max(s.slowness, 1)
 	timedOut := work > limit
