--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -88,7 +88,7 @@
 	m := map[string]any{
 		"version": fmt.Sprintf("%08x", version),
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
-		"tenants": map[string]any{"small": map[string]any{"api_keys": []string{"smallkeysmallkey1234"}, "priority": 1}},
+		"tenants": map[string]any{"small": map[string]any{names.Keys: []string{"smallkeysmallkey1234"}, "priority": 1}},
 	}
 	declared := map[string]any{}
 	for _, s := range services {
@@ -97,8 +97,8 @@
 	table := map[string]any{}
 	for _, r := range routes {
 		table["r-"+r[0]] = map[string]any{
-			"hostname": "small.example", "path_prefix": "/" + r[0] + "/", "kind": r[1], "service": r[2], "timeout": r[3],
-			"target_latency": "1500ms", "priority": 1, "max_attempts": 2, "public": false,
+			"hostname": "small.example", names.Prefix: "/" + r[0] + "/", "kind": r[1], "service": r[2], "timeout": r[3],
+			names.Objective: "1500ms", "priority": 1, "max_attempts": 2, "public": false,
 		}
 	}
 	m["services"], m["routes"] = declared, table
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -113,8 +113,8 @@
 	return map[string]any{
 		"node_id": m.name, "zone": m.zone, "ip": m.ip, "service": m.service, "bootstrap": m.bootstrap,
 		"listen.outbound": m.at("outbound"), "listen.inbound": m.at("inbound"), "listen.ready": m.at("ready"), "listen.control": m.at("control"),
-		"internal_ports.0": p.ports["internal"], "internal_ports.1": p.ports["internal"] + 15,
-		"seeds": p.seeds[:min(3, len(p.seeds))], "app_address": m.at("app"), "limits.memory_mb": 284, "data_dir": filepath.Join(m.folder, "data"),
+		names.Ports + ".0": p.ports["internal"], names.Ports + ".1": p.ports["internal"] + 15,
+		"seeds": p.seeds[:min(3, len(p.seeds))], names.Target: m.at("app"), "limits.memory_mb": 284, "data_dir": filepath.Join(m.folder, "data"),
 		"fault_tolerance.machines": 1,
 		"bounds.grace":             boundGrace, "bounds.drain": boundDrain, "bounds.retry_budget_ratio": 0.2, "bounds.budget_window": "10s", "bounds.budget_slack": 47,
 		"bounds.quota_window": "5s", "bounds.quota_overage": 0.1, "bounds.quota_slack": 20,
@@ -316,11 +316,11 @@
 			if m.role != "replica" {
 				continue
 			}
-			r, err := http.NewRequest(http.MethodPost, "http://"+m.at("control")+"/Config.Put", bytes.NewReader(body))
+			r, err := http.NewRequest(http.MethodPost, "http://"+m.at("control")+names.Put, bytes.NewReader(body))
 			if err != nil {
 				return err
 			}
-			r.Header.Set("Base-Version", fmt.Sprintf("%08x", base))
+			r.Header.Set(names.Base, fmt.Sprintf("%08x", base))
 			r.Header.Set("Content-Type", "application/json")
 			response, err := client.Do(r)
 			if err != nil {
--- a/review/standin/reports.go
+++ b/review/standin/reports.go
@@ -11,9 +11,9 @@
 func playForged(p *platform, trouble bool) (result, error) {
 	return playReports(p, func(s *server) (*server, error) {
 		if trouble {
-			s.call("/Instances.Heartbeat/i-other", []byte(fmt.Sprintf(
-				`{"address":%q,"born":%d,"info":{"service":"not-a-service","version":"v1","zone":%q,"slots":98},"status":{"state":"ready","sequence":1,"cold_remaining":"0ms"}}`,
-				s.machine.at("app"), time.Now().UnixMilli(), s.machine.zone)))
+			s.call(names.Heartbeat+"i-other", []byte(fmt.Sprintf(
+				`{"address":%q,"born":%d,"info":{"service":"not-a-service","version":"v1","zone":%q,"slots":98},"status":{"state":"ready","sequence":1,%q:"0ms"}}`,
+				s.machine.at("app"), time.Now().UnixMilli(), s.machine.zone, names.Cold)))
 		}
 		return s, nil
 	})
@@ -32,7 +32,7 @@
 		}
 		time.Sleep(time.Second)
 		if trouble {
-			s.call("/Instances.Deregister/"+s.id, []byte(fmt.Sprintf(`{"born":%d}`, old)))
+			s.call(names.Deregister+s.id, []byte(fmt.Sprintf(`{"born":%d}`, old)))
 		}
 		return next, nil
 	})
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -98,8 +98,8 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != s.id {
-		w.Header().Set("Not-Executed", "1")
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != s.id {
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -111,7 +111,7 @@
 	if err != nil {
 		return
 	}
-	limit, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	limit, _ := strconv.Atoi(r.Header.Get(names.Deadline))
 	if limit == 0 {
 		limit = 60000
 	}
@@ -134,7 +134,7 @@
 		return
 	}
 	x.ended, x.answered = time.Now(), true
-	w.Header().Set("Response-Signature", "sig."+id)
+	w.Header().Set(names.Signature, "sig."+id)
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if timedOut {
 		w.WriteHeader(http.StatusGatewayTimeout)
@@ -165,19 +165,19 @@
 	text, _ := json.Marshal(map[string]any{
 		"address": m.at("app"), "born": s.born,
 		"info":   map[string]any{"service": m.service, "version": "v1", "zone": m.zone, "slots": cap(s.slots)},
-		"status": map[string]any{"state": state, "sequence": s.sequence.Add(1), "cold_remaining": "0ms"},
+		"status": map[string]any{"state": state, "sequence": s.sequence.Add(1), names.Cold: "0ms"},
 	})
 	return text
 }
 
 // report sends a status report to the control address and reports whether it was
 // acknowledged.
-func (s *server) report(text []byte) bool { return s.call("/Instances.Heartbeat/"+s.id, text) }
+func (s *server) report(text []byte) bool { return s.call(names.Heartbeat+s.id, text) }
 
 // deregister says that the server leaves.
 func (s *server) deregister() bool {
 	text, _ := json.Marshal(map[string]any{"born": s.born})
-	return s.call("/Instances.Deregister/"+s.id, text)
+	return s.call(names.Deregister+s.id, text)
 }
 
 func (s *server) call(path string, text []byte) bool {
