--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts start. The build of the deploy file comes first.
+# Builds the stand-ins that the scripts start, from the sources beside this file. The
+# build of the deploy file comes first.
 set -e
-cd "$(dirname "$0")/standin"
-go build -o ../../target/review-standin .
+cd "$(dirname "$0")"
+go build -o ../target/review-standin .
--- a/review/standin/deregister.go
+++ b/review/deregister.go
@@ -70,7 +70,7 @@
 	late2, lost := 0, 0
 	for _, x := range collected.list {
 		// Machines in touch only: all started at least stability_window ago.
-		if x.server != "i-1" || x.began.Before(acknowledged.Add(boundDrain)) || (trouble && x.began.Before(restarted.Add(boundStabilityWindow+restartDelay+time.Second))) {
+		if x.server != "i-1" || x.reached.Before(acknowledged.Add(boundDrain)) || (trouble && x.reached.Before(restarted.Add(boundStabilityWindow+restartDelay+time.Second))) {
 			continue
 		}
 		late2++
--- a/review/standin/queue.go
+++ b/review/queue.go
@@ -71,14 +71,14 @@
 			return result{}, fmt.Errorf("the node did not acknowledge that the server is draining")
 		}
 		for _, x := range collected.list {
-			if x.server != l.server.id || !x.began.After(l.acknowledged.Add(boundDrain)) {
+			if x.server != l.server.id || !x.reached.After(l.acknowledged.Add(boundDrain)) {
 				continue
 			}
 			late++
 			if !x.answered {
 				lost++
 			}
-			p.record.printf("judge: %s reached %s %.3f s after the drain report was acknowledged, answered %t", x.id, x.server, x.began.Sub(l.acknowledged).Seconds(), x.answered)
+			p.record.printf("judge: %s reached %s %.3f s after the drain report was acknowledged, answered %t", x.id, x.server, x.reached.Sub(l.acknowledged).Seconds(), x.answered)
 		}
 	}
 	return result{broken: late > 0, text: fmt.Sprintf("%d requests reached a server later than %v after it was acknowledged to be draining; %d of them were lost with it", late, boundDrain, lost)}, nil
--- a/review/standin/server.go
+++ b/review/server.go
@@ -19,9 +19,10 @@
 type run struct {
 	id     string
 	server string
-	// began and ended are times of the steady clock; ended is zero while it runs.
-	began, ended time.Time
-	answered     bool
+	// reached is when the whole request had arrived, ended when the work ended; ended is
+	// zero while it runs.
+	reached, ended time.Time
+	answered       bool
 }
 
 // runs collects the runs of all servers.
@@ -115,9 +116,10 @@
 	if limit == 0 {
 		limit = 60000
 	}
+	reached := time.Now()
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
-	x := &run{id: id, server: s.id, began: time.Now()}
+	x := &run{id: id, server: s.id, reached: reached}
 	s.runs.add(x)
 	s.machine.platform.record.printf("server %s runs %s %s %s (%d bytes)", s.id, id, r.Method, r.URL.Path, len(body))
 	if s.crash != nil && s.crash(id, body) {
