A stopping node takes only what it can answer before it ends

Cause: stop drained the own target first, which lasts as long as the target is at work, and then closed the listeners. Meanwhile requests were taken whether or not they could be answered. Requests of other nodes that arrive late went the same way.

Once callers, or other nodes, have had time to go elsewhere, a request is taken only if its deadline lies before the end of the process. Others get 503 with reason stop, not run, and a Retry-After; other nodes ask another target.

Not chosen: closing the listener after 3 s, since callers are then not told that their request was not run.

--- a/pkg/forwarder/filters.go
+++ b/pkg/forwarder/filters.go
@@ -15,6 +15,7 @@
 		&readyFilter{f},
 		&versionFilter{f},
 		&routeFilter{f},
+		&stopFilter{f},
 		&keyFilter{f},
 		&quarantineFilter{f},
 		&shedFilter{f},
@@ -27,6 +28,7 @@
 // hopFilters returns the filters of the chosen target's node, in their order.
 func (f *Forwarder) hopFilters() []Filter {
 	return []Filter{
+		&stopFilter{f},
 		&quarantineFilter{f},
 		&admitFilter{f},
 		&deliverFilter{f},
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -96,8 +96,9 @@
 	CountBytes func(centre string, bytes int64)
 	// Retries returns the bounds of this node's retry budget towards a service.
 	Retries func() retrier.Bounds
-	// Draining reports whether the node is about to stop.
-	Draining func() bool
+	// Stopping returns the times of the node's graceful stop, or nil before it begins.
+	// It may be nil.
+	Stopping func() *Stop
 	// CountEvent adds delta to a counter of events; it may be nil.
 	CountEvent func(name string, delta int64)
 	// Observer receives the outcome of each request; it may be nil.
@@ -162,7 +163,7 @@
 // ServeHTTP serves requests of callers, and the calls of this node's target.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.count("requests")
-	if f.deps.Draining() {
+	if f.stop() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x := &Exchange{writer: w, request: r, config: f.deps.Config.Current(), startedAt: f.deps.Clock.Now(), hop: newHop(), dialect: f.deps.Dialect, onRefusal: f.logRefusal}
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -92,6 +92,9 @@
 	// ReasonDeclined stands for requests that reached a target, which stated that
 	// it did not run them.
 	ReasonDeclined Reason = "declined"
+	// ReasonStop stands for requests that a stopping node may not answer before its
+	// process ends.
+	ReasonStop Reason = "stop"
 )
 
 // Refusal is the response that a node gives to a rejected request in place of a
--- /dev/null
+++ b/pkg/forwarder/stop_filter_test.go
@@ -0,0 +1,59 @@
+package forwarder
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// TestStopTakesOnlyWhatEndsInTime guards against a stopping node that takes a request,
+// from a caller or from another node, and ends before its deadline.
+func TestStopTakesOnlyWhatEndsInTime(t *testing.T) {
+	const callersGone, nodesGone, ends = 3 * time.Second, 1500 * time.Millisecond, 5600 * time.Millisecond
+	for _, test := range []struct {
+		name          string
+		at, timeout   time.Duration
+		hop, streamed bool
+		parent        *InFlightRequest
+		taken         bool
+	}{
+		{name: "a caller that cannot know yet", at: 2900 * time.Millisecond, timeout: 5 * time.Second, taken: true},
+		{name: "a short request after that", at: 4 * time.Second, timeout: 1500 * time.Millisecond, taken: true},
+		{name: "a long request after that", at: 4 * time.Second, timeout: 1700 * time.Millisecond},
+		{name: "a request at the very end", at: ends, timeout: time.Second},
+		{name: "an upload without a time bound", at: 4 * time.Second, timeout: time.Second, streamed: true},
+		{name: "a call whose parent runs here", at: 5 * time.Second, timeout: 5 * time.Second, parent: &InFlightRequest{}, taken: true},
+		{name: "a hop of a node that cannot know yet", at: time.Second, timeout: 5 * time.Second, hop: true, taken: true},
+		{name: "a short hop after that", at: 2 * time.Second, timeout: 3 * time.Second, hop: true, taken: true},
+		{name: "a long hop after that", at: 2 * time.Second, timeout: 4 * time.Second, hop: true},
+	} {
+		clock := &timekeeper.Manual{}
+		began := clock.Now()
+		stop := &Stop{CallersGone: began.Add(callersGone), NodesGone: began.Add(nodesGone), Ends: began.Add(ends)}
+		clock.Advance(test.at)
+		f := New(Deps{Clock: clock, Stopping: func() *Stop { return stop }})
+		w := httptest.NewRecorder()
+		x := &Exchange{
+			writer: w, request: httptest.NewRequest(http.MethodPost, "/x", nil), hop: &control.Hop{}, dialect: Native{},
+			atTargetNode: test.hop, deadline: clock.Now().Add(test.timeout), streamed: test.streamed, parent: test.parent,
+			budget: retrier.NewBudget(0),
+		}
+		taken := false
+		(&stopFilter{f}).Serve(x, func(*Exchange) { taken = true })
+		qt.Check(t, taken, qt.Equals, test.taken, qt.Commentf("%s", test.name))
+		if taken {
+			continue
+		}
+		qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", test.name))
+		qt.Check(t, w.Header().Get(HeaderReason), qt.Equals, string(ReasonStop), qt.Commentf("%s", test.name))
+		qt.Check(t, w.Header().Get(HeaderOutcome), qt.Equals, string(NotRun), qt.Commentf("%s", test.name))
+		qt.Check(t, w.Header().Get(HeaderWait), qt.Not(qt.Equals), "", qt.Commentf("%s", test.name))
+	}
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -56,6 +56,9 @@
 	// graceMargin. Ending the process while one still runs loses no more than a
 	// kill would.
 	controllersTimeout = 100 * time.Millisecond
+	// signalDelay is how late a busy process may begin its stop after the signal, from
+	// which callers and the supervisor count.
+	signalDelay = 100 * time.Millisecond
 	// readyPropagationDelay is how long callers may go on using a node whose
 	// readiness check fails: two failed checks, a second apart, and the spread of
 	// their times.
@@ -103,10 +106,12 @@
 	forwarder    *forwarder.Forwarder
 	connector    *connector.Connector
 
-	metrics   *expvar.Map
-	measurer  *measurer.Measurer
+	metrics  *expvar.Map
+	measurer *measurer.Measurer
+	// stopBegan is when the graceful stop began; stopping holds its other times and is
+	// nil before it.
 	stopBegan time.Time
-	draining  atomic.Bool
+	stopping  atomic.Pointer[forwarder.Stop]
 	isReady   atomic.Bool
 	// toleranceWaived is set while the fleet has too few disks for the tolerance in
 	// the settings.
@@ -266,7 +271,7 @@
 		Ready:             s.ready, InContact: s.inContact, Behind: s.fetcher.Behind, Changed: s.fetcher.Changed,
 		CheckTarget:   func(t *forwarder.Target) { s.announcer.CheckTarget(t) },
 		TargetLeaving: s.targetLeaving,
-		CountBytes:    s.traffic.countRequest, Retries: s.retryBounds, RecordSuccess: s.recordSuccess, Draining: s.draining.Load,
+		CountBytes:    s.traffic.countRequest, Retries: s.retryBounds, RecordSuccess: s.recordSuccess, Stopping: s.stopping.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 }
@@ -346,7 +351,7 @@
 	}
 	s.gossip.UpdateSelf(func(e *control.Entry) {
 		e.Service, e.Slots, e.Life, e.Cold = "", 0, "", 0
-		if t != nil && !s.draining.Load() {
+		if t != nil && s.stopping.Load() == nil {
 			e.Service, e.Slots, e.Life = t.Service, uint32(t.Slots), t.Life
 			e.Cold = uint32(max(cold, 0).Milliseconds())
 		}
@@ -448,7 +453,7 @@
 
 // serveReady answers the readiness check.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if s.draining.Load() || !s.ready() {
+	if s.stopping.Load() != nil || !s.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/pkg/server/stop.go
+++ b/pkg/server/stop.go
@@ -4,20 +4,17 @@
 	"context"
 
 	"github.com/primrosewall/primrosewall/pkg/announcer"
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
-// stop announces that the node is leaving, waits until other nodes know it and
-// the requests in flight have finished, then closes the listeners.
+// stop announces that the node is leaving, waits until callers and other nodes know it
+// and the requests at the own target have finished, then closes the listeners. Until
+// then they stay open: a caller is told that its request was not run, see
+// forwarder.Stop.
 func (s *Server) stop(listeners []*listener) {
-	s.log.Info("drain", "instance", s.settings.Instance)
-	s.stopBegan = s.clock.Now()
-	s.draining.Store(true)
-	timeout := stopTimeout
-	if grace := s.live.Load().Grace.Duration; grace > 0 {
-		timeout = grace - min(graceMargin, grace/4)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	times := s.beginStop()
+	ctx, cancel := context.WithTimeout(context.Background(), times.Ends.Sub(s.stopBegan))
 	defer cancel()
 	s.gossip.UpdateSelf(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
 	if err := s.announcer.Drain(ctx); err != nil {
@@ -26,8 +23,7 @@
 	if s.announcer.Target() == nil {
 		<-s.clock.After(announcer.LeavePropagationDelay)
 	}
-	if s.settings.Ready != "" && s.settings.Listen != "" {
-		// Callers stop using the node once its readiness check has failed twice.
+	if s.callersCheckReadiness() {
 		select {
 		case <-s.clock.After(readyPropagationDelay - s.clock.Now().Sub(s.stopBegan)):
 		case <-ctx.Done():
@@ -39,3 +35,30 @@
 		}
 	}
 }
+
+// beginStop fixes the times of the stop.
+func (s *Server) beginStop() *forwarder.Stop {
+	s.stopBegan = s.clock.Now()
+	timeout := stopTimeout
+	if grace := s.live.Load().Grace.Duration; grace > 0 {
+		timeout = grace - min(graceMargin, grace/4)
+	}
+	callersGone := announcer.LeavePropagationDelay
+	if s.callersCheckReadiness() {
+		callersGone = readyPropagationDelay
+	}
+	times := &forwarder.Stop{
+		CallersGone: s.stopBegan.Add(callersGone - signalDelay),
+		NodesGone:   s.stopBegan.Add(announcer.LeavePropagationDelay),
+		Ends:        s.stopBegan.Add(timeout),
+	}
+	s.stopping.Store(times)
+	s.log.Info("drain", "instance", s.settings.Instance, "callers", callersGone, "ends", timeout)
+	return times
+}
+
+// callersCheckReadiness reports whether callers of this node stop using it once its
+// readiness check has failed twice.
+func (s *Server) callersCheckReadiness() bool {
+	return s.settings.Ready != "" && s.settings.Listen != ""
+}
