A departure that was acknowledged outlives the node's process

Cause: handleDeregister ended only the current target and did not read the start time in the body; departures of any kind were kept in the memory of one process. So a restart after the acknowledgement lost them too, and a late call of a former life ended the present one under the same id.

The node's gossip entry names it, before the call is acknowledged; other nodes keep that over restarts of the node, do not use the life, and tell the node in its first sync, until which it holds reports of readiness. Reports without effect get 409 and a log line. The next life has another name and is taken as before.

Ruled out: a late report that undoes a recorded end (tests that passed before).

Test doubles got the new methods of their interfaces, and the counter of heartbeats is atomic now.

--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -56,6 +57,9 @@
 	// new work. Cold is the target's warm-up time after a start; it is negative
 	// when the target has not just started.
 	TargetChanged(target *forwarder.Target, cold time.Duration)
+	// TargetLeft is called when no target takes new work since this life has said
+	// that it leaves. It never takes new work again.
+	TargetLeft(life string)
 	// TargetCrashed is called when a life of the target has crashed, but not again
 	// while that life is the last one reported as crashed.
 	TargetCrashed(target *forwarder.Target)
@@ -80,6 +84,11 @@
 	lastReport reportOrder
 	// endedLife is the last life that reported its own end.
 	endedLife string
+	// departures are the lives that have left for good.
+	departures departures
+	// holding is set while announcements are held, in held.
+	holding bool
+	held    []func()
 }
 
 // reportOrder orders reports by the start time of their life, then by their
@@ -100,6 +109,8 @@
 // and state when they leave.
 type Report struct {
 	Announcement
+	// Target names the target; all its lives have this name.
+	Target string
 	// Cold is the rest of the target's warm-up time.
 	Cold time.Duration
 	// Leaving is set when the target is about to stop taking new work.
@@ -112,52 +123,99 @@
 	TTL time.Duration
 }
 
-// Report accepts a report of the target. It ignores a report that is not newer
-// than the last accepted one, which includes all reports of earlier lives, and
-// reports of a life that has ended. A life that counts as crashed is accepted
-// again only if its target listens. If the report states that the target leaves,
-// drain is how long the target may still receive requests.
-func (a *Announcer) Report(r Report, drain time.Duration) {
-	at := reportOrder{r.StartMillis, r.Sequence}
+// Report accepts a report of the target. A report that states that the target leaves
+// always holds, however late it is; drain is how long the target may still receive
+// requests. Other reports are ignored, with an *IgnoredError, if they are not newer
+// than the last accepted one, which includes all reports of earlier lives, or if their
+// life has left. A life that counts as crashed is accepted again only if its target
+// listens.
+func (a *Announcer) Report(r Report, drain time.Duration) error {
+	if r.Leaving {
+		a.recordOrder(r)
+		a.Leave(r.Life, drain)
+		return nil
+	}
+	if a.hold(func() { _ = a.accept(r) }) {
+		return nil
+	}
+	return a.accept(r)
+}
+
+// accept makes a report of readiness take effect.
+func (a *Announcer) accept(r Report) error {
 	a.mu.Lock()
-	stale := !a.lastReport.before(at) || r.Life == a.endedLife
-	if stale {
+	if a.departures.contain(r.Life, r.Target, a.clock.Now()) {
 		a.mu.Unlock()
-		return
+		return &IgnoredError{Life: r.Life, Reason: ReasonLeft}
 	}
-	a.lastReport = at
+	a.mu.Unlock()
+	if !a.recordOrder(r) {
+		return &IgnoredError{Life: r.Life, Reason: ReasonLate}
+	}
+	a.mu.Lock()
 	previous := a.target
 	crashed := r.Life == a.crashedLife
 	a.mu.Unlock()
-	switch {
-	case r.Leaving:
-		a.Leave(r.Life, drain)
-	case crashed:
+	if crashed {
 		p := &targetProbe{announcer: a, target: newTarget(r.Announcement), report: &r}
 		go p.run()
-	default:
-		a.announce(r.Announcement, r.TTL, r.Cold, previous == nil || previous.Life != r.Life)
+		return nil
 	}
+	a.announce(r.Announcement, r.TTL, r.Cold, previous == nil || previous.Life != r.Life)
+	return nil
+}
+
+// recordOrder reports whether a report is newer than the last one in order, and makes
+// it the last one if so.
+func (a *Announcer) recordOrder(r Report) bool {
+	at := reportOrder{r.StartMillis, r.Sequence}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.lastReport.before(at) {
+		return false
+	}
+	a.lastReport = at
+	return true
 }
 
 func newTarget(ann Announcement) *forwarder.Target {
 	return &forwarder.Target{Service: ann.Service, Address: ann.Address, Slots: ann.Slots, Life: ann.Life}
 }
 
-// Leave stops new work for a life of the target: the listener is notified at
-// once, and after the drain time this node delivers no more requests to it.
+// Leave stops new work for a life of the target for good, also if this node does not
+// know that life: the listener is notified at once, and after the drain time this node
+// delivers no more requests to it.
 func (a *Announcer) Leave(life string, drain time.Duration) {
+	target, notify := a.depart(life)
+	if notify {
+		a.listener.TargetLeft(life)
+	}
+	if target != nil {
+		c := &delayedClose{announcer: a, target: target, delay: drain}
+		go c.run()
+	}
+}
+
+// depart records that a life has left. It returns the target if that is this life and
+// was not leaving, and whether the listener must be notified.
+func (a *Announcer) depart(life string) (target *forwarder.Target, notify bool) {
 	a.mu.Lock()
-	target := a.target
-	if target == nil || target.Life != life || a.leaving {
-		a.mu.Unlock()
-		return
+	defer a.mu.Unlock()
+	known := a.departures.add(life)
+	switch {
+	case a.target == nil:
+		return nil, !known
+	case a.target.Life != life || a.leaving:
+		return nil, false
 	}
 	a.leaving = true
-	a.mu.Unlock()
-	a.listener.TargetChanged(nil, 0)
-	c := &delayedClose{announcer: a, target: target, delay: drain}
-	go c.run()
+	return a.target, true
+}
+
+// LearnLeft records that, as other nodes know, a life had left before this node
+// started: the drain time began then.
+func (a *Announcer) LearnLeft(life string) {
+	a.Leave(life, 0)
 }
 
 // End records that a life has reported its own end. The target may still receive
@@ -167,11 +225,18 @@
 	leaving := a.leaving && a.target != nil && a.target.Life == life
 	a.endedLife = life
 	a.mu.Unlock()
+	a.Leave(life, drain)
 	if leaving {
 		a.close(life)
-		return
 	}
-	a.Leave(life, drain)
+}
+
+// EndTarget records that the lives of a target that started before now have ended. The
+// node does not know which ones there were.
+func (a *Announcer) EndTarget(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.departures.addTarget(name, a.clock.Now())
 }
 
 // ReportMisdirected removes a target in whose place another one has answered.
@@ -247,11 +312,7 @@
 	case http.MethodPut:
 		a.put(w, r)
 	case http.MethodDelete:
-		if err := a.Drain(r.Context()); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
+		a.withdraw(w, r)
 	default:
 		http.Error(w, "PUT announces a target, DELETE drains it", http.StatusMethodNotAllowed)
 	}
@@ -259,9 +320,7 @@
 
 func (a *Announcer) put(w http.ResponseWriter, r *http.Request) {
 	ann := Announcement{}
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&ann); err != nil {
+	if err := ann.read(w, r); err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -269,10 +328,42 @@
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	a.Announce(ann)
+	if err := a.Announce(ann); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusConflict)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// withdraw drains the target for good. A body names the life that leaves; without one
+// it is the current one.
+func (a *Announcer) withdraw(w http.ResponseWriter, r *http.Request) {
+	ann := Announcement{}
+	if err := ann.read(w, r); err != nil && !errors.Is(err, io.EOF) {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if target := a.Target(); ann.Life == "" && target != nil {
+		ann.Life = target.Life
+	}
+	if _, notify := a.depart(ann.Life); notify {
+		a.listener.TargetLeft(ann.Life)
+	}
+	if target := a.Target(); target != nil && target.Life == ann.Life {
+		if err := a.drain(r.Context(), target); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *Announcement) read(w http.ResponseWriter, r *http.Request) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(a)
+}
+
 func (a *Announcement) check() error {
 	if a.Service == "" || a.Life == "" {
 		return fmt.Errorf("service and life must not be empty")
@@ -291,16 +382,25 @@
 // one.
 const defaultColdTime = 3 * time.Second
 
-// Announce accepts a first announcement or a renewal.
-func (a *Announcer) Announce(ann Announcement) {
+// Announce accepts a first announcement or a renewal. It returns an *IgnoredError if
+// the life has left.
+func (a *Announcer) Announce(ann Announcement) error {
+	if a.hold(func() { _ = a.Announce(ann) }) {
+		return nil
+	}
 	a.mu.Lock()
 	crashed := ann.Life == a.crashedLife
+	left := a.departures.contain(ann.Life, "", a.clock.Now())
 	a.mu.Unlock()
-	if crashed {
+	switch {
+	case left:
+		return &IgnoredError{Life: ann.Life, Reason: ReasonLeft}
+	case crashed:
 		// The life has been reported as crashed, so this renewal arrived late.
-		return
+		return nil
 	}
 	a.announce(ann, leaseTTL, defaultColdTime, false)
+	return nil
 }
 
 // announce sets or renews the target. If another life without a planned end
@@ -415,9 +515,9 @@
 	}
 }
 
-// Drain stops new work for the target and returns when no request is left, or
-// after maxDrainTime. Requests that other nodes send before they learn of the
-// drain are still served.
+// Drain stops new work for the target since the node stops, and returns when no request
+// is left, or after maxDrainTime. Requests that other nodes send before they learn of
+// the drain are still served.
 func (a *Announcer) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	target := a.target
@@ -427,6 +527,11 @@
 		return nil
 	}
 	a.listener.TargetChanged(nil, 0)
+	return a.drain(ctx, target)
+}
+
+// drain waits until a target that takes no new work has no request left, and closes it.
+func (a *Announcer) drain(ctx context.Context, target *forwarder.Target) error {
 	if err := a.wait(ctx, LeavePropagationDelay); err != nil {
 		return err
 	}
--- a/pkg/announcer/announcer_test.go
+++ b/pkg/announcer/announcer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	life    string
 	cold    time.Duration
 	crashes []string
+	left    []string
 }
 
 func (l *listener) TargetChanged(t *forwarder.Target, cold time.Duration) {
@@ -31,6 +33,12 @@
 	}
 }
 
+func (l *listener) TargetLeft(life string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.life, l.left = "", append(l.left, life)
+}
+
 func (l *listener) TargetCrashed(t *forwarder.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -59,7 +67,7 @@
 }
 
 func (s *fixture) report(life string, startMillis int64, sequence uint64, leaving bool) {
-	s.Report(announcer.Report{
+	_ = s.Report(announcer.Report{
 		Announcement: announcer.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 4, Life: life},
 		StartMillis:  startMillis, Sequence: sequence, Leaving: leaving, TTL: time.Minute, Cold: time.Second,
 	}, drain)
@@ -206,3 +214,70 @@
 	s.report("b/20", 20, 1, false)
 	qt.Assert(t, s.listener.crashes, qt.DeepEquals, []string{"s/a/10"})
 }
+
+// TestEndOfUnknownLifeIsForgotten guards against a node that has restarted, acknowledges
+// the end of a life, and takes a late report of that life.
+func TestEndOfUnknownLifeIsForgotten(t *testing.T) {
+	s := newFixture()
+	s.End("a/10", drain)
+	qt.Assert(t, s.listener.left, qt.DeepEquals, []string{"a/10"})
+	s.report("a/10", 10, 5, false)
+	qt.Assert(t, s.Target(), qt.IsNil)
+	// The next life is taken at once, and a late end of the former one changes nothing.
+	s.report("a/20", 20, 1, false)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/20")
+	s.End("a/10", drain)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/20")
+}
+
+// TestLeavingReportOfUnknownLifeIsForgotten guards against the same with a report that
+// the target leaves, whatever was reported by others before.
+func TestLeavingReportOfUnknownLifeIsForgotten(t *testing.T) {
+	s := newFixture()
+	s.report("b/90", 90, 1, false)
+	s.report("a/10", 10, 5, true)
+	s.ReportMisdirected(s.Target())
+	s.report("a/10", 10, 6, false)
+	qt.Assert(t, s.Target(), qt.IsNil)
+}
+
+// TestEndOfUnknownTargetIsForgotten guards against the same where the end names no life.
+// It binds no longer than reports may be late, as the target may start again.
+func TestEndOfUnknownTargetIsForgotten(t *testing.T) {
+	s := newFixture()
+	s.EndTarget("a")
+	late := announcer.Report{
+		Announcement: announcer.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 4, Life: "a/10"},
+		Target:       "a", StartMillis: 10, Sequence: 5, TTL: time.Minute,
+	}
+	err := s.Report(late, drain)
+	var ignored *announcer.IgnoredError
+	qt.Assert(t, errors.As(err, &ignored), qt.IsTrue)
+	qt.Assert(t, ignored.Reason, qt.Equals, announcer.ReasonLeft)
+	s.clock.Advance(time.Minute)
+	qt.Assert(t, s.Report(late, drain), qt.IsNil)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/10")
+}
+
+// TestHeldReportMissesDeparture guards against a starting node that takes a report before
+// it has learned that the life had left.
+func TestHeldReportMissesDeparture(t *testing.T) {
+	s := newFixture()
+	s.Hold()
+	s.report("a/10", 10, 5, false)
+	qt.Assert(t, s.Target(), qt.IsNil)
+	s.LearnLeft("a/10")
+	s.Release()
+	qt.Assert(t, s.Target(), qt.IsNil)
+	s.report("a/20", 20, 1, false)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/20")
+}
+
+// TestReleasedReportsTakeEffect guards against a held report that is lost.
+func TestReleasedReportsTakeEffect(t *testing.T) {
+	s := newFixture()
+	s.Hold()
+	s.report("a/10", 10, 5, false)
+	s.Release()
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/10")
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -49,6 +49,9 @@
 	Version() uint64
 	// LearnVersion is called when the node at address advertises a higher version.
 	LearnVersion(version uint64, address string)
+	// LearnLeft is called, possibly often, with a life of this instance's target that
+	// had left before this node started, as other nodes know.
+	LearnLeft(life string)
 	// Merge applies items received from another node and returns those to spread.
 	Merge(items Items) Items
 	// Digest is equal on nodes that have the same withdrawn keys and quarantine
@@ -96,6 +99,10 @@
 	tableChangedAt time.Time
 	// contacts are the instances that have sent a packet or a sync message.
 	contacts map[string]bool
+	// learnedLeft lists lives of the own target that have left, until the node knows.
+	learnedLeft []string
+	// synced is set once a sync has succeeded.
+	synced bool
 	// lastReplicaContact is when a replica last sent a packet.
 	lastReplicaContact time.Time
 	// divergentPeers passes SyncLoop the address of a node with other members, keys
@@ -147,6 +154,13 @@
 	return g.self
 }
 
+// Synced reports whether this node has compared its table with that of another node.
+func (g *Gossiper) Synced() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.synced
+}
+
 // ContactCount returns how many instances have sent this node a packet or a sync
 // message.
 func (g *Gossiper) ContactCount() int {
@@ -176,6 +190,10 @@
 		}
 	}
 	old := g.members[e.Instance]
+	next.leftLife = leftLife(e)
+	if next.leftLife == "" && old != nil {
+		next.leftLife = old.leftLife
+	}
 	if old == nil || isDead(old.entry) != isDead(e) || old.entry.Centre != e.Centre || old.entry.Address != e.Address {
 		g.topology = nil
 	}
@@ -185,7 +203,7 @@
 	if old == nil && !e.Replica {
 		g.nonReplicas++
 	}
-	g.serviceIndex.store(old, e)
+	g.serviceIndex.store(old, next)
 	g.table ^= entryHash(e)
 	g.tableChangedAt = now
 	g.members[e.Instance] = next
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -45,8 +45,12 @@
 	// withdrawn holds the withdrawn keys that the member knows.
 	withdrawn  map[string]bool
 	quarantine *quarantiner.Quarantiner
+	// left lists the lives of the own target that other members know to have left.
+	left []string
 }
 
+func (m *member) LearnLeft(life string) { m.left = append(m.left, life) }
+
 func (m *member) Version() uint64 { return m.version }
 
 func (m *member) LearnVersion(version uint64, _ string) {
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -68,6 +68,7 @@
 		g.markQueuedKnown(u, p.From)
 	}
 	g.mu.Unlock()
+	g.passLearnedLeft()
 	g.mergeItems(items, p.From)
 	if p.Version > own {
 		g.node.LearnVersion(p.Version, p.Address)
@@ -143,6 +144,7 @@
 func (g *Gossiper) mergeEntries(entries []*control.Entry, from string, now time.Time) {
 	for _, e := range entries {
 		if e.Instance == g.self.Instance {
+			g.learnLeft(e)
 			g.refute(e)
 			continue
 		}
@@ -158,6 +160,26 @@
 	}
 }
 
+// learnLeft notes a life of the own target that has left, according to an entry from
+// before this node's last restart.
+func (g *Gossiper) learnLeft(e *control.Entry) {
+	if life := leftLife(e); life != "" && life != leftLife(g.self) {
+		g.learnedLeft = append(g.learnedLeft, life)
+	}
+}
+
+// passLearnedLeft tells the node what learnLeft has noted. The node calls back, so the
+// lock must not be held.
+func (g *Gossiper) passLearnedLeft() {
+	g.mu.Lock()
+	learned := g.learnedLeft
+	g.learnedLeft = nil
+	g.mu.Unlock()
+	for _, life := range learned {
+		g.node.LearnLeft(life)
+	}
+}
+
 // refute raises this node's incarnation if e, a suspicion about it or an entry
 // from before its last restart, supersedes its own entry.
 func (g *Gossiper) refute(e *control.Entry) {
@@ -250,8 +272,10 @@
 		Entries: g.differingEntries(r.Buckets), Buckets: g.buckets(),
 		Version: g.node.Version(), Withdrawals: digest, From: g.self.Instance,
 	}
+	reply.Entries = append(reply.Entries, g.formerEntry(r.From)...)
 	own := reply.Version
 	g.mu.Unlock()
+	g.passLearnedLeft()
 	g.mergeItems(Items{Withdrawn: r.Withdrawn, Suspects: r.Suspects}, r.From)
 	if digest != r.Withdrawals {
 		all := g.node.All()
@@ -263,6 +287,22 @@
 	return reply
 }
 
+// formerEntry returns an entry of a member from before its restart, which names the
+// life of its target that has left, unless the member states that itself.
+func (g *Gossiper) formerEntry(instance string) []*control.Entry {
+	m, ok := g.members[instance]
+	if !ok || m.leftLife == "" || m.leftLife == leftLife(m.entry) {
+		return nil
+	}
+	return []*control.Entry{{Instance: instance, Life: m.leftLife}}
+}
+
+func (g *Gossiper) setSynced() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.synced = true
+}
+
 // finishSync merges the reply. If the two nodes differed, it sends a second request
 // with what the other node may lack: this node's entries in the buckets that
 // differ and, if the digests differ, all its keys and decisions.
@@ -273,6 +313,8 @@
 	g.mergeEntries(reply.Entries, reply.From, g.clock.Now())
 	own := g.node.Version()
 	g.mu.Unlock()
+	g.passLearnedLeft()
+	g.setSynced()
 	g.mergeItems(Items{Withdrawn: reply.Withdrawn, Suspects: reply.Suspects}, reply.From)
 	if reply.Version > own {
 		g.node.LearnVersion(reply.Version, address)
--- a/pkg/gossiper/services.go
+++ b/pkg/gossiper/services.go
@@ -13,7 +13,7 @@
 }
 
 // store replaces an older entry by a newer one; either may be nil.
-func (s *serviceIndex) store(old *member, next *control.Entry) {
+func (s *serviceIndex) store(old, next *member) {
 	if s.members == nil {
 		s.members, s.lists = map[string]map[string]*control.Entry{}, map[string][]*control.Entry{}
 	}
@@ -21,17 +21,18 @@
 		delete(s.members[old.entry.Service], old.entry.Instance)
 		delete(s.lists, old.entry.Service)
 	}
-	if next == nil || next.Service == "" {
+	if next == nil || next.entry.Service == "" {
 		return
 	}
-	delete(s.lists, next.Service)
-	if next.State != control.State_STATE_ALIVE && next.State != control.State_STATE_SUSPECT {
+	e := next.entry
+	delete(s.lists, e.Service)
+	if e.State != control.State_STATE_ALIVE && e.State != control.State_STATE_SUSPECT || next.announcesLeftLife() {
 		return
 	}
-	if s.members[next.Service] == nil {
-		s.members[next.Service] = map[string]*control.Entry{}
+	if s.members[e.Service] == nil {
+		s.members[e.Service] = map[string]*control.Entry{}
 	}
-	s.members[next.Service][next.Instance] = next
+	s.members[e.Service][e.Instance] = e
 }
 
 // list returns the members of a service, sorted by instance name.
--- a/pkg/gossiper/sync_test.go
+++ b/pkg/gossiper/sync_test.go
@@ -27,6 +27,9 @@
 // LearnVersion implements gossiper.NodeState.
 func (s *startedNode) LearnVersion(uint64, string) {}
 
+// LearnLeft implements gossiper.NodeState.
+func (s *startedNode) LearnLeft(string) {}
+
 // Merge implements gossiper.NodeState.
 func (s *startedNode) Merge(gossiper.Items) gossiper.Items { return gossiper.Items{} }
 
--- a/pkg/gossiper/table.go
+++ b/pkg/gossiper/table.go
@@ -22,6 +22,24 @@
 	updatedAt time.Time
 	// notAliveSince is when the state stopped being alive; zero while it is alive.
 	notAliveSince time.Time
+	// leftLife is the last life of the member's target that has left. It outlives the
+	// member's process, which forgets it in a restart.
+	leftLife string
+}
+
+// leftLife returns the life of the target that has left, as an entry states by naming a
+// life and no service; empty if there is none. The entry of a stopping node says nothing
+// about its target, which goes on.
+func leftLife(e *control.Entry) string {
+	if e.Service != "" || e.State == control.State_STATE_LEAVING {
+		return ""
+	}
+	return e.Life
+}
+
+// announcesLeftLife reports whether the entry announces a life that had left before.
+func (m *member) announcesLeftLife() bool {
+	return m.leftLife != "" && m.entry.Life == m.leftLife
 }
 
 // supersedes reports whether entry a is newer than b. The higher incarnation wins;
--- a/pkg/gossiper/updates.go
+++ b/pkg/gossiper/updates.go
@@ -58,15 +58,31 @@
 	for _, u := range items.updates() {
 		g.enqueue(u, from)
 	}
-	var out []outgoing
-	if now := g.clock.Now(); now.Sub(g.lastImmediateSend) >= minImmediateInterval {
-		g.lastImmediateSend = now
-		out = g.sendUpdates()
-	}
+	out := g.sendImmediately()
+	g.mu.Unlock()
+	g.send(out)
+}
+
+// Flush sends queued updates without waiting for the next tick, so that others know
+// before this node acknowledges something.
+func (g *Gossiper) Flush() {
+	g.mu.Lock()
+	out := g.sendImmediately()
 	g.mu.Unlock()
 	g.send(out)
 }
 
+// sendImmediately returns the packets to send between ticks, at most once per
+// minImmediateInterval.
+func (g *Gossiper) sendImmediately() []outgoing {
+	now := g.clock.Now()
+	if now.Sub(g.lastImmediateSend) < minImmediateInterval {
+		return nil
+	}
+	g.lastImmediateSend = now
+	return g.sendUpdates()
+}
+
 // BroadcastVersion advertises a new version that is in force on this node.
 func (g *Gossiper) BroadcastVersion() {
 	g.mu.Lock()
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -29,6 +29,7 @@
 		s.holder,
 		s.tokens,
 		s.announcer,
+		&announcementReleaser{s},
 		s.traffic,
 		&silenceLog{server: s},
 	}
--- a/pkg/server/interface.go
+++ b/pkg/server/interface.go
@@ -37,10 +37,14 @@
 	// IsReplica reports whether this node has a data folder, and so can be a replica
 	// of the register.
 	IsReplica() bool
-	// Report processes a report of this node's target.
-	Report(r announcer.Report)
-	// End records that a life of this node's target has ended.
+	// Report processes a report of this node's target. It returns an
+	// *announcer.IgnoredError if the report has no effect.
+	Report(r announcer.Report) error
+	// End records that a life of this node's target has ended, also if the node does
+	// not know that life.
 	End(life string)
+	// EndTarget records that all lives of a target up to now have ended.
+	EndTarget(name string)
 	// Life identifies the current run of this node's target; empty when there is no
 	// target.
 	Life() string
@@ -135,16 +139,36 @@
 func (c *controlBackend) IsReplica() bool { return c.server.folder != nil }
 
 // Report implements ControlBackend.
-func (c *controlBackend) Report(r announcer.Report) {
+func (c *controlBackend) Report(r announcer.Report) error {
+	s := c.server
 	if r.Address == "" {
-		r.Address = c.server.settings.Target
+		r.Address = s.settings.Target
+	}
+	err := s.announcer.Report(r, s.live.Load().Drain.Duration)
+	if err != nil {
+		s.logIgnored(r, err)
 	}
-	c.server.announcer.Report(r, c.server.live.Load().Drain.Duration)
+	return err
+}
+
+// logIgnored logs a report that has no effect.
+func (s *Server) logIgnored(r announcer.Report, err error) {
+	s.countEvent("reports_ignored", 1)
+	s.log.Warn("report_ignored", "life", r.Life, "service", r.Service, "address", r.Address, "sequence", r.Sequence,
+		"leaving", r.Leaving, "error", err.Error())
 }
 
 // End implements ControlBackend.
 func (c *controlBackend) End(life string) {
-	c.server.announcer.End(life, c.server.live.Load().Drain.Duration)
+	s := c.server
+	s.log.Info("target_end", "life", life)
+	s.announcer.End(life, s.live.Load().Drain.Duration)
+}
+
+// EndTarget implements ControlBackend.
+func (c *controlBackend) EndTarget(name string) {
+	c.server.log.Info("target_end", "target", name)
+	c.server.announcer.EndTarget(name)
 }
 
 // Life implements ControlBackend.
--- a/pkg/server/node_state.go
+++ b/pkg/server/node_state.go
@@ -12,10 +12,13 @@
 // nodeState connects gossip with the rest of the node: it provides the state to
 // announce, and merges the state received from other nodes.
 type nodeState struct {
-	config      *enforcer.Enforcer
-	withdrawn   *withdrawer.Withdrawer
-	quarantine  *quarantiner.Quarantiner
-	fetcher     *fetcher.Fetcher
+	config     *enforcer.Enforcer
+	withdrawn  *withdrawer.Withdrawer
+	quarantine *quarantiner.Quarantiner
+	fetcher    *fetcher.Fetcher
+	// learnLeft is called with a life of the own target that had left before this node
+	// started.
+	learnLeft   func(life string)
 	reportError func(event string, err error)
 }
 
@@ -27,6 +30,9 @@
 	n.fetcher.AddAdvert(version, address)
 }
 
+// LearnLeft implements gossiper.NodeState.
+func (n *nodeState) LearnLeft(life string) { n.learnLeft(life) }
+
 // Merge implements gossiper.NodeState.
 func (n *nodeState) Merge(items gossiper.Items) gossiper.Items {
 	var fresh gossiper.Items
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -202,7 +202,7 @@
 	s.fetcher = fetcher.New(fetcher.Options{
 		Fetch: s.caller.Fetch, Config: s.config, Apply: s.applyValue, FullValue: s.folder != nil, Replicas: s.otherReplicas, Clock: s.clock, Log: s.log,
 	})
-	s.nodeState = &nodeState{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, reportError: s.reportError}
+	s.nodeState = &nodeState{config: s.config, withdrawn: s.withdrawn, quarantine: s.quarantine, fetcher: s.fetcher, reportError: s.reportError, learnLeft: func(life string) { s.announcer.LearnLeft(life) }}
 	self := &control.Entry{
 		Instance: s.settings.Instance, Centre: s.settings.Centre, Address: s.settings.Peer,
 		Incarnation: uint64(s.started.UnixMilli()), Replica: s.folder != nil,
@@ -274,6 +274,9 @@
 		CountBytes:    s.traffic.countRequest, Retries: s.retryBounds, RecordSuccess: s.recordSuccess, Stopping: s.stopping.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
+	if len(s.seeds()) > 0 {
+		s.announcer.Hold()
+	}
 }
 
 // plainPeerConnector makes the connector for requests without a body to other
@@ -350,7 +353,12 @@
 		s.log.Info("target", "service", t.Service, "address", t.Address, "slots", t.Slots, "life", t.Life, "cold", cold)
 	}
 	s.gossip.UpdateSelf(func(e *control.Entry) {
-		e.Service, e.Slots, e.Life, e.Cold = "", 0, "", 0
+		if e.Service != "" {
+			// Without a service the entry names a life that has left, which others
+			// remember until the next one.
+			e.Life = ""
+		}
+		e.Service, e.Slots, e.Cold = "", 0, 0
 		if t != nil && s.stopping.Load() == nil {
 			e.Service, e.Slots, e.Life = t.Service, uint32(t.Slots), t.Life
 			e.Cold = uint32(max(cold, 0).Milliseconds())
@@ -358,6 +366,16 @@
 	})
 }
 
+// TargetLeft implements announcer.Listener. The life stays in this node's entry, so that
+// other nodes remember after a restart of this one that it has left.
+func (s *Server) TargetLeft(life string) {
+	s.log.Info("target_left", "life", life)
+	s.gossip.UpdateSelf(func(e *control.Entry) {
+		e.Service, e.Slots, e.Life, e.Cold = "", 0, life, 0
+	})
+	s.gossip.Flush()
+}
+
 // targetLeaving stops new work for a target that states that it leaves. Requests from
 // nodes that do not know it yet are still served for the drain time.
 func (s *Server) targetLeaving(t *forwarder.Target) {
--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -52,7 +52,7 @@
 	running *runningNode
 	// address is where the target listens.
 	address    string
-	heartbeats int
+	heartbeats atomic.Int64
 	// starts counts the starts of the target after the first.
 	starts atomic.Int64
 	iface  *server.Interface
@@ -299,13 +299,12 @@
 }
 
 func (platformDriver) announcement(f *interfaceFleet, leaving bool) *http.Request {
-	f.heartbeats++
 	state := "ready"
 	if leaving {
 		state = "draining"
 	}
 	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"echo","slots":%d},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
-		f.address, 1700+f.starts.Load(), testSlots, state, f.heartbeats)
+		f.address, 1700+f.starts.Load(), testSlots, state, f.heartbeats.Add(1))
 	r, _ := http.NewRequest(http.MethodPost, "http://"+f.node.Control+"/Instances.Heartbeat/i-1", strings.NewReader(body))
 	r.Header.Set("Content-Type", "application/json")
 	return r
