One report of another writer no longer keeps the own target out

Cause: the start time and sequence of a report were compared with those of the last accepted one, whoever had sent it. On the own interface, which has no start times, a life that was displaced counted as crashed and was never taken back.

Fix: reports and announcements that name another service or address than the settings of the node are not taken (409, report_ignored). A life in whose place another one answered a request does not come back while another reports. target and service are among the settings that are read again.

Ruled out: that only unknown services do it (start times and announcements alone suffice).

--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -80,8 +80,11 @@
 	// expired is a target that stopped renewing its announcement without having
 	// left. If another life follows, the expired one counts as crashed.
 	expired *forwarder.Target
-	// lastReport orders the newest report that was accepted.
-	lastReport reportOrder
+	// arbiter decides which reports are taken.
+	arbiter arbiter
+	// place returns what is known of the own target without its reports; nil if
+	// nothing is.
+	place func() Place
 	// endedLife is the last life that reported its own end.
 	endedLife string
 	// departures are the lives that have left for good.
@@ -91,20 +94,6 @@
 	held    []func()
 }
 
-// reportOrder orders reports by the start time of their life, then by their
-// sequence within that life.
-type reportOrder struct {
-	startMillis int64
-	sequence    uint64
-}
-
-func (o reportOrder) before(other reportOrder) bool {
-	if o.startMillis != other.startMillis {
-		return o.startMillis < other.startMillis
-	}
-	return o.sequence < other.sequence
-}
-
 // Report is an announcement in a fleet whose targets report at a fixed interval
 // and state when they leave.
 type Report struct {
@@ -124,14 +113,16 @@
 }
 
 // Report accepts a report of the target. A report that states that the target leaves
-// always holds, however late it is; drain is how long the target may still receive
-// requests. Other reports are ignored, with an *IgnoredError, if they are not newer
-// than the last accepted one, which includes all reports of earlier lives, or if their
-// life has left. A life that counts as crashed is accepted again only if its target
-// listens.
+// holds however late it is; drain is how long the target may still receive requests.
+// Reports that are not about the own target, of a life that has left, or that the arbiter
+// does not take are ignored, with an *IgnoredError. A life that counts as crashed is
+// accepted again only if its target listens.
 func (a *Announcer) Report(r Report, drain time.Duration) error {
+	if err := a.checkPlace(r.Announcement); err != nil {
+		return err
+	}
 	if r.Leaving {
-		a.recordOrder(r)
+		a.judge(r)
 		a.Leave(r.Life, drain)
 		return nil
 	}
@@ -149,7 +140,7 @@
 		return &IgnoredError{Life: r.Life, Reason: ReasonLeft}
 	}
 	a.mu.Unlock()
-	if !a.recordOrder(r) {
+	if !a.judge(r) {
 		return &IgnoredError{Life: r.Life, Reason: ReasonLate}
 	}
 	a.mu.Lock()
@@ -157,25 +148,33 @@
 	crashed := r.Life == a.crashedLife
 	a.mu.Unlock()
 	if crashed {
-		p := &targetProbe{announcer: a, target: newTarget(r.Announcement), report: &r}
-		go p.run()
+		a.probeCrashed(&r)
 		return nil
 	}
 	a.announce(r.Announcement, r.TTL, r.Cold, previous == nil || previous.Life != r.Life)
 	return nil
 }
 
-// recordOrder reports whether a report is newer than the last one in order, and makes
-// it the last one if so.
-func (a *Announcer) recordOrder(r Report) bool {
-	at := reportOrder{r.StartMillis, r.Sequence}
+// judge reports whether the arbiter takes a report.
+func (a *Announcer) judge(r Report) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.lastReport.before(at) {
-		return false
+	return a.arbiter.take(r, a.clock.Now())
+}
+
+// checkPlace returns an *IgnoredError if an announcement is not about the own target.
+func (a *Announcer) checkPlace(ann Announcement) error {
+	if a.place == nil {
+		return nil
 	}
-	a.lastReport = at
-	return true
+	place := a.place()
+	switch {
+	case place.Service != "" && place.Service != ann.Service:
+		return &IgnoredError{Life: ann.Life, Reason: ReasonService}
+	case place.Address != "" && place.Address != ann.Address:
+		return &IgnoredError{Life: ann.Life, Reason: ReasonAddress}
+	}
+	return nil
 }
 
 func newTarget(ann Announcement) *forwarder.Target {
@@ -240,7 +239,12 @@
 }
 
 // ReportMisdirected removes a target in whose place another one has answered.
-func (a *Announcer) ReportMisdirected(t *forwarder.Target) { a.removeTarget(t) }
+func (a *Announcer) ReportMisdirected(t *forwarder.Target) {
+	a.mu.Lock()
+	a.arbiter.refute(t.Life)
+	a.mu.Unlock()
+	a.removeTarget(t)
+}
 
 // delayedClose closes a leaving target after a delay.
 type delayedClose struct {
@@ -265,6 +269,17 @@
 	}
 }
 
+// Place is what the settings of a node say about its own target. Empty fields are not
+// known.
+type Place struct {
+	// Service is the service that runs there, and Address where it listens.
+	Service, Address string
+}
+
+// SetPlace makes the announcer ignore announcements of other targets than the one that
+// place returns.
+func (a *Announcer) SetPlace(place func() Place) { a.place = place }
+
 // New returns an Announcer; inflight returns how many requests the target runs.
 func New(clock timekeeper.Clock, listener Listener, inflight func() int) *Announcer {
 	return &Announcer{clock: clock, listener: listener, inflight: inflight}
@@ -383,26 +398,42 @@
 const defaultColdTime = 3 * time.Second
 
 // Announce accepts a first announcement or a renewal. It returns an *IgnoredError if
-// the life has left.
+// the announcement is not about the own target or the life has left.
 func (a *Announcer) Announce(ann Announcement) error {
+	if err := a.checkPlace(ann); err != nil {
+		return err
+	}
 	if a.hold(func() { _ = a.Announce(ann) }) {
 		return nil
 	}
 	a.mu.Lock()
+	now := a.clock.Now()
 	crashed := ann.Life == a.crashedLife
-	left := a.departures.contain(ann.Life, "", a.clock.Now())
+	left := a.departures.contain(ann.Life, "", now)
+	late := crashed && a.target != nil && !a.arbiter.goesOn(ann.Life, now)
+	if !crashed {
+		a.arbiter.claimant = ""
+	}
 	a.mu.Unlock()
 	switch {
 	case left:
 		return &IgnoredError{Life: ann.Life, Reason: ReasonLeft}
+	case late:
+		return &IgnoredError{Life: ann.Life, Reason: ReasonLate}
 	case crashed:
-		// The life has been reported as crashed, so this renewal arrived late.
+		a.probeCrashed(&Report{Announcement: ann, Cold: defaultColdTime, TTL: leaseTTL})
 		return nil
 	}
 	a.announce(ann, leaseTTL, defaultColdTime, false)
 	return nil
 }
 
+// probeCrashed takes a report of a life that counts as crashed if its target listens.
+func (a *Announcer) probeCrashed(r *Report) {
+	p := &targetProbe{announcer: a, target: newTarget(r.Announcement), report: r}
+	go p.run()
+}
+
 // announce sets or renews the target. If another life without a planned end
 // precedes it, that one has crashed. A life that is leaving keeps leaving unless
 // rejoin is set.
--- a/pkg/announcer/announcer_test.go
+++ b/pkg/announcer/announcer_test.go
@@ -57,18 +57,20 @@
 type fixture struct {
 	clock    *timekeeper.Manual
 	listener *listener
+	// address is where the target listens; nobody does unless a test changes it.
+	address string
 	*announcer.Announcer
 }
 
 func newFixture() *fixture {
-	s := &fixture{clock: &timekeeper.Manual{}, listener: &listener{}}
+	s := &fixture{clock: &timekeeper.Manual{}, listener: &listener{}, address: "127.0.0.1:1"}
 	s.Announcer = announcer.New(s.clock, s.listener, func() int { return 0 })
 	return s
 }
 
-func (s *fixture) report(life string, startMillis int64, sequence uint64, leaving bool) {
-	_ = s.Report(announcer.Report{
-		Announcement: announcer.Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 4, Life: life},
+func (s *fixture) report(life string, startMillis int64, sequence uint64, leaving bool) error {
+	return s.Report(announcer.Report{
+		Announcement: announcer.Announcement{Service: "s", Address: s.address, Slots: 4, Life: life},
 		StartMillis:  startMillis, Sequence: sequence, Leaving: leaving, TTL: time.Minute, Cold: time.Second,
 	}, drain)
 }
@@ -281,3 +283,121 @@
 	s.Release()
 	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/10")
 }
+
+// TestReportOfAnotherPlaceTakesOver guards against a report of another writer, of any
+// start time, that takes the place of the own target.
+func TestReportOfAnotherPlaceTakesOver(t *testing.T) {
+	s := newFixture()
+	s.SetPlace(func() announcer.Place { return announcer.Place{Service: "s", Address: "127.0.0.1:1"} })
+	s.report("a/10", 10, 1, false)
+	for reason, foreign := range map[announcer.IgnoredReason]announcer.Announcement{
+		announcer.ReasonService: {Service: "x", Address: "127.0.0.1:1", Slots: 4, Life: "x/90"},
+		announcer.ReasonAddress: {Service: "s", Address: "127.0.0.1:2", Slots: 4, Life: "x/90"},
+	} {
+		for _, leaving := range []bool{false, true} {
+			err := s.Report(announcer.Report{Announcement: foreign, StartMillis: 90, Sequence: 9, TTL: time.Minute, Leaving: leaving}, drain)
+			var ignored *announcer.IgnoredError
+			qt.Assert(t, errors.As(err, &ignored), qt.IsTrue)
+			qt.Assert(t, ignored.Reason, qt.Equals, reason)
+		}
+		qt.Assert(t, errors.As(s.Announce(foreign), new(*announcer.IgnoredError)), qt.IsTrue)
+	}
+	s.report("a/10", 10, 2, false)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/10")
+}
+
+// heartbeat is the time between two reports of a target.
+const heartbeat = 1500 * time.Millisecond
+
+// newListeningFixture returns a fixture whose target listens.
+func newListeningFixture(t *testing.T) *fixture {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	s := newFixture()
+	s.address = l.Addr().String()
+	return s
+}
+
+// waitForLife waits until a life is in use.
+func (s *fixture) waitForLife(t *testing.T, life string) {
+	for range 2000 {
+		if s.listener.currentLife() == life {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, life)
+}
+
+// TestLaterStartKeepsTargetOut guards against one report with a later start time, of
+// another writer or by a clock that was ahead, after which the reports of the real target
+// are never taken.
+func TestLaterStartKeepsTargetOut(t *testing.T) {
+	s := newListeningFixture(t)
+	s.report("a/10", 10, 1, false)
+	s.report("x/90", 90, 1, false)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "x/90")
+	for sequence := range uint64(2) {
+		s.clock.Advance(heartbeat)
+		s.report("a/10", 10, 2+sequence, false)
+	}
+	s.waitForLife(t, "a/10")
+}
+
+// TestForeignAnnouncementKeepsTargetOut guards against the same with announcements that
+// have no order: the first renewal may be late, the second shows that the target goes on.
+func TestForeignAnnouncementKeepsTargetOut(t *testing.T) {
+	s := newListeningFixture(t)
+	own := announcer.Announcement{Service: "s", Address: s.address, Slots: 4, Life: "a"}
+	qt.Assert(t, s.Announce(own), qt.IsNil)
+	qt.Assert(t, s.Announce(announcer.Announcement{Service: "x", Address: s.address, Slots: 4, Life: "x"}), qt.IsNil)
+	qt.Assert(t, errors.As(s.Announce(own), new(*announcer.IgnoredError)), qt.IsTrue)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "x")
+	s.clock.Advance(heartbeat)
+	qt.Assert(t, s.Announce(own), qt.IsNil)
+	s.waitForLife(t, "a")
+}
+
+// TestDelayedReportsTakeOver guards against reports of a former life that were delayed
+// and arrive together, while the present one goes on.
+func TestDelayedReportsTakeOver(t *testing.T) {
+	s := newFixture()
+	s.report("a/10", 10, 1, false)
+	s.report("b/90", 90, 1, false)
+	for sequence := range uint64(4) {
+		qt.Assert(t, errors.As(s.report("a/10", 10, 2+sequence, false), new(*announcer.IgnoredError)), qt.IsTrue)
+	}
+	s.clock.Advance(heartbeat)
+	s.report("b/90", 90, 2, false)
+	s.report("a/10", 10, 7, false)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "b/90")
+}
+
+// TestMisdirectedLifeReturns guards against a writer that goes on reporting a life in
+// whose place another one answers: the real target is taken with its next report.
+func TestMisdirectedLifeReturns(t *testing.T) {
+	s := newFixture()
+	s.report("a/10", 10, 1, false)
+	s.report("x/90", 90, 1, false)
+	s.ReportMisdirected(s.Target())
+	for sequence := range uint64(5) {
+		s.clock.Advance(heartbeat / 2)
+		s.report("x/90", 90, 2+sequence, false)
+		s.clock.Advance(heartbeat / 2)
+		s.report("a/10", 10, 2+sequence, false)
+		qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/10")
+	}
+}
+
+// TestEarlierStartAfterCrash guards against a target that starts again after its clock
+// was set back and is never taken.
+func TestEarlierStartAfterCrash(t *testing.T) {
+	s := newFixture()
+	s.report("a/90", 90, 50, false)
+	s.clock.Advance(heartbeat)
+	s.report("a/10", 10, 1, false)
+	s.clock.Advance(heartbeat)
+	s.report("a/10", 10, 2, false)
+	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/10")
+}
--- a/pkg/announcer/departures.go
+++ b/pkg/announcer/departures.go
@@ -25,6 +25,10 @@
 	ReasonLeft IgnoredReason = "left"
 	// ReasonLate stands for a report that is not newer than the last accepted one.
 	ReasonLate IgnoredReason = "late"
+	// ReasonService and ReasonAddress stand for announcements that name another
+	// service, or another address, than the settings of the node.
+	ReasonService IgnoredReason = "service"
+	ReasonAddress IgnoredReason = "address"
 )
 
 // IgnoredError reports that an announcement has no effect.
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -79,10 +79,9 @@
 	Sameport bool `json:"sameport"`
 	// Heal lets the replicas replace a lost replica without an operator.
 	Heal bool `json:"heal"`
-	// Target is the own target's address, used if a report through Interface
-	// states none.
-	Target string `json:"target"`
-	// Service is the own target's service; if empty, the target states it.
+	// Target is the own target's address, and Service its service. Announcements that
+	// name others are ignored; if empty, the target states them.
+	Target  string `json:"target"`
 	Service string `json:"service"`
 	// Memory bounds the memory of the process, in MiB; 0 for no bound.
 	Memory int `json:"memory"`
@@ -308,12 +307,13 @@
 }
 
 // Reload returns a copy of the settings in which the values that may change while
-// the daemon runs are taken from newer: seeds, replicas and bounds.
+// the daemon runs are taken from newer: seeds, replicas, the own target and bounds.
 func (s *Settings) Reload(newer *Settings) *Settings {
 	next := *s
 	next.Seeds, next.Replicas = newer.Seeds, newer.Replicas
 	next.Grace, next.Drain, next.Contact = newer.Grace, newer.Drain, newer.Contact
 	next.Retry, next.Overage = newer.Retry, newer.Overage
+	next.Target, next.Service = newer.Target, newer.Service
 	return &next
 }
 
--- a/pkg/server/interface.go
+++ b/pkg/server/interface.go
@@ -142,7 +142,7 @@
 func (c *controlBackend) Report(r announcer.Report) error {
 	s := c.server
 	if r.Address == "" {
-		r.Address = s.settings.Target
+		r.Address = s.live.Load().Target
 	}
 	err := s.announcer.Report(r, s.live.Load().Drain.Duration)
 	if err != nil {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -274,6 +274,7 @@
 		CountBytes:    s.traffic.countRequest, Retries: s.retryBounds, RecordSuccess: s.recordSuccess, Stopping: s.stopping.Load,
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
+	s.announcer.SetPlace(s.place)
 	if len(s.seeds()) > 0 {
 		s.announcer.Hold()
 	}
@@ -295,10 +296,16 @@
 	return "https"
 }
 
+// place is what the settings say about this node's target.
+func (s *Server) place() announcer.Place {
+	live := s.live.Load()
+	return announcer.Place{Service: live.Service, Address: live.Target}
+}
+
 // ownService is the service of this node's target; empty when it is not known.
 func (s *Server) ownService() string {
-	if s.settings.Service != "" {
-		return s.settings.Service
+	if service := s.live.Load().Service; service != "" {
+		return service
 	}
 	if t := s.announcer.Target(); t != nil {
 		return t.Service
--- a/test/departure_test.go
+++ b/test/departure_test.go
@@ -32,3 +32,26 @@
 		}
 	})
 }
+
+// takenAgainBound is two reports, at the interval at which targets report.
+const takenAgainBound = 3 * time.Second
+
+// TestForeignReportStarvesTarget guards against one announcement of another writer that
+// keeps the own target out of use: no setting names the service here, so only the next
+// reports of the target can tell.
+func TestForeignReportStarvesTarget(t *testing.T) {
+	t.Parallel()
+	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
+		f := newLimitedFleet(t, s, 10*time.Millisecond)
+		response, err := http.DefaultClient.Do(s.foreign(f.interfaceFleet))
+		qt.Assert(t, err, qt.IsNil)
+		response.Body.Close()
+		time.Sleep(takenAgainBound)
+		for _, e := range f.entries {
+			response, err := http.DefaultClient.Do(s.request(e, "/open/x", ""))
+			qt.Assert(t, err, qt.IsNil)
+			response.Body.Close()
+			qt.Check(t, response.StatusCode, qt.Equals, http.StatusOK)
+		}
+	})
+}
--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -31,6 +31,9 @@
 	declare(t *testing.T, f *interfaceFleet)
 	// announcement is a message of the target to its node.
 	announcement(f *interfaceFleet, leaving bool) *http.Request
+	// foreign is an announcement of another writer, of another service, in the place of
+	// the target.
+	foreign(f *interfaceFleet) *http.Request
 	// answer adds to the headers of an answer what the target must send, and what it
 	// states: a limit, if not empty, and whether it leaves.
 	answer(h http.Header, r *http.Request, limit string, leaving bool)
@@ -247,6 +250,12 @@
 	return r
 }
 
+func (nativeDriver) foreign(f *interfaceFleet) *http.Request {
+	body := fmt.Sprintf(`{"service":"other","address":%q,"slots":1,"life":"foreign"}`, f.address)
+	r, _ := http.NewRequest(http.MethodPut, "http://"+f.node.Admin+"/announce", strings.NewReader(body))
+	return r
+}
+
 func (nativeDriver) answer(h http.Header, _ *http.Request, limit string, leaving bool) {
 	if limit != "" {
 		h.Set("Primrose-Limit", limit)
@@ -310,6 +319,13 @@
 	return r
 }
 
+func (platformDriver) foreign(f *interfaceFleet) *http.Request {
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"other","slots":1},"status":{"state":"ready","sequence":1,"cold_remaining":"0ms"}}`,
+		f.address, time.Now().UnixMilli())
+	r, _ := http.NewRequest(http.MethodPost, "http://"+f.node.Control+"/Instances.Heartbeat/i-other", strings.NewReader(body))
+	return r
+}
+
 func (platformDriver) answer(h http.Header, r *http.Request, limit string, leaving bool) {
 	h.Set("Request-Id", r.Header.Get("Request-Id"))
 	h.Set("Response-Signature", "s")
