A streamed body has one reader, also during an early answer

Callers lost answers, or a part of them.

Cause: by default net/http reads the rest of a request, up to 256 kB, when the handler begins its response. While an answer is streamed, the transport to the target still reads the same body in its own goroutine. So each got a part.

The body is lent to the transport of one attempt; net/http does not read it on its own. With the response, or before another attempt, the loan ends and later reads fail. The response announces that its connection closes, and the rest of the body is read while it keeps coming, so that the close does not reset the connection before the answer was read.

The same cause elsewhere: a transport of a failed attempt could begin to read after the check that it had not, and a former reader set deadlines of the connection; neither can read or set any after the loan.

Ruled out: reuse of the connection (TestEarlyResponseClosesTheConnection), bytes of another body and second attempts (the bodies of the test hold their positions; one attempt each). Not chosen: closing the connection to the target, which breaks off the answer.

The start of further nodes in the test fleet moved into a function of its own.

--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,9 +55,12 @@
 	// bodyPrefix is the beginning of a streamed body of unknown length, which is
 	// already in memory.
 	bodyPrefix []byte
-	// bodyRead is set once the transport, in its own goroutine, has read from the
-	// streamed body.
-	bodyRead atomic.Bool
+	// streamedBody is the reader of the streamed body that the latest attempt has got;
+	// nil before the first one.
+	streamedBody *streamedBody
+	// bodyRead is set once a transport, in its own goroutine, has read from the
+	// streamed body, and bodyEnded once it has read its end.
+	bodyRead, bodyEnded atomic.Bool
 	// finishClaim is called with the result of the request before the answer is
 	// written; it may be nil.
 	finishClaim func(result)
@@ -96,6 +98,7 @@
 	if x.onRefusal != nil {
 		x.onRefusal(x, r)
 	}
+	x.announceClose()
 	if x.atTargetNode {
 		x.setRetriesHeader()
 		r.write(x.writer)
@@ -128,7 +131,7 @@
 		return nil
 	}
 	if length > maxReplayableBody {
-		x.streamed = true
+		x.streamBody()
 		return nil
 	}
 	if length < 0 {
@@ -150,7 +153,8 @@
 		return err
 	}
 	if len(bufferedBody) > maxReplayableBody {
-		x.streamed, x.bodyPrefix = true, bufferedBody
+		x.bodyPrefix = bufferedBody
+		x.streamBody()
 		return nil
 	}
 	x.bufferedBody = bufferedBody
@@ -163,7 +167,8 @@
 		return opaqueBody{bytes.NewReader(x.bufferedBody)}, int64(len(x.bufferedBody))
 	}
 	rest := newStallReader(x.writer, x.request.Body)
-	return &trackedBody{exchange: x, reader: io.MultiReader(bytes.NewReader(x.bodyPrefix), rest)}, x.request.ContentLength
+	x.streamedBody = &streamedBody{exchange: x, reader: io.MultiReader(bytes.NewReader(x.bodyPrefix), rest)}
+	return x.streamedBody, x.request.ContentLength
 }
 
 // opaqueBody hides the reader's type, so that the transport cannot rewind the
@@ -173,22 +178,6 @@
 // Close implements io.Closer.
 func (opaqueBody) Close() error { return nil }
 
-// trackedBody records that a streamed body has been read from.
-type trackedBody struct {
-	exchange *Exchange
-	reader   io.Reader
-	once     sync.Once
-}
-
-// Read implements io.Reader.
-func (b *trackedBody) Read(p []byte) (int, error) {
-	b.once.Do(func() { b.exchange.bodyRead.Store(true) })
-	return b.reader.Read(p)
-}
-
-// Close implements io.Closer. It does nothing: the HTTP server closes the body.
-func (b *trackedBody) Close() error { return nil }
-
 // stallReader fails a read that makes no progress within stallTimeout. It does
 // not limit the time for the whole body.
 type stallReader struct {
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -172,6 +172,7 @@
 	x.request = r.WithContext(ctx)
 	x.cancel = cancel
 	f.entry(x)
+	x.finishBody()
 }
 
 // ServeHop serves the requests that entry nodes send to this node's target. The
@@ -192,12 +193,13 @@
 		budget: retrier.NewBudget(hop.Retries), deadline: now.Add(time.Duration(hop.Timeout) * time.Microsecond),
 	}
 	if length := r.ContentLength; length < 0 || length > maxReplayableBody {
-		x.streamed = true
+		x.streamBody()
 	} else if err := x.bufferBody(); err != nil {
 		x.refuse(bodyRefusal(err))
 		return
 	}
 	f.hop(x)
+	x.finishBody()
 }
 
 // IsHop reports whether a request on the listener for other nodes is a hop.
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -59,7 +59,7 @@
 		if u, ok := a.result.(*unknownResult); ok {
 			lastUnknown = u
 		}
-		if s.shouldRetry(x, a, tried) {
+		if s.shouldRetry(x, a, tried) && x.reclaimBody() {
 			a.abandon()
 			s.forwarder.count("retries")
 			continue
--- a/pkg/forwarder/target_answer.go
+++ b/pkg/forwarder/target_answer.go
@@ -72,6 +72,7 @@
 		// A nil value keeps net/http from guessing the content type.
 		h["Content-Type"] = nil
 	}
+	x.announceClose()
 	x.writer.WriteHeader(a.status)
 	if a.stream == nil {
 		if _, err := x.writer.Write(a.body); err != nil && x.request.Method != http.MethodHead && statusAllowsBody(a.status) {
--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -120,6 +120,26 @@
 	f.running = f.startNode(t, f.node)
 }
 
+// addEntry starts a further node, without a target.
+func (f *interfaceFleet) addEntry(t *testing.T, number int) *configurer.Settings {
+	settings, _ := f.startEntry(t, number)
+	return settings
+}
+
+// startEntry starts a further node, without a target; every second one is in another data
+// centre. cancel begins its stop.
+func (f *interfaceFleet) startEntry(t *testing.T, number int) (settings *configurer.Settings, cancel context.CancelFunc) {
+	e := *f.node
+	e.Instance = fmt.Sprintf("entry%d", number)
+	e.Peer, e.Listen, e.Ready, e.Admin, e.Control = addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next()
+	if number%2 == 1 {
+		e.Centre = "there"
+	}
+	n := f.startNode(t, &e)
+	t.Cleanup(n.stop)
+	return &e, n.cancel
+}
+
 // startNode starts a node inside the test process.
 func (f *interfaceFleet) startNode(t *testing.T, settings *configurer.Settings) *runningNode {
 	s, err := server.New(settings, timekeeper.BootTimeClock{}, quietLogger(), f.iface)
--- a/test/target_limit_test.go
+++ b/test/target_limit_test.go
@@ -242,18 +242,11 @@
 	target := newLimitedTarget(t, s, serviceTime)
 	f := &limitedFleet{interfaceFleet: newInterfaceFleet(t, s, target.address), driver: s, target: target}
 	for i := range entryCount {
-		e := *f.interfaceFleet.node
-		e.Instance = fmt.Sprintf("entry%d", i)
-		e.Peer, e.Listen, e.Ready, e.Admin, e.Control = addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next(), addresses.Next()
-		if i%2 == 1 {
-			e.Centre = "there"
-		}
-		f.entries = append(f.entries, &e)
-		n := f.startNode(t, &e)
-		t.Cleanup(n.stop)
+		e, cancel := f.startEntry(t, i)
+		f.entries = append(f.entries, e)
 		// Cleanups run in reverse order: all entry nodes begin to stop before the
 		// first of them is waited for.
-		defer t.Cleanup(n.cancel)
+		defer t.Cleanup(cancel)
 	}
 	s.declare(t, f.interfaceFleet)
 	ended := make(chan struct{})
