Early answers: callers that send first, bodies longer than net/http reads

The mutant rest-not-read was missed with bodies of 200 kB and callers that read while they send; with 600 kB, and half of the callers sending all before they read, it is noticed.

--- a/test/early_answer_test.go
+++ b/test/early_answer_test.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// earlyBodyBytes is the length of the bodies, and earlyReadBytes what the target
-	// has read when it answers.
-	earlyBodyBytes = 200 << 10
+	// earlyBodyBytes is the length of the bodies, more than net/http reads by itself
+	// after a response, and earlyReadBytes what the target has read when it answers.
+	earlyBodyBytes = 600 << 10
 	earlyReadBytes = 20 << 10
 	// earlyPause lets the answer pass through the nodes before the target reads on.
 	earlyPause = 20 * time.Millisecond
@@ -189,8 +189,9 @@
 }
 
 // sendEarly sends a body to an entry node, whether or not the answer has come, and reads
-// the answer. It returns the length of the answer's body.
-func sendEarly(s interfaceDriver, entry *configurer.Settings, answer string, chunked bool) (int, error) {
+// the answer, meanwhile or, with sendFirst, when all is sent. It returns the length of the
+// answer's body.
+func sendEarly(s interfaceDriver, entry *configurer.Settings, answer string, chunked, sendFirst bool) (int, error) {
 	r := s.request(entry, "/open/x?answer="+answer, "")
 	c, err := net.DialTimeout("tcp", entry.Listen, waitTimeout)
 	if err != nil {
@@ -210,7 +211,11 @@
 	if _, err := io.WriteString(c, head.String()); err != nil {
 		return 0, err
 	}
-	go sender.run()
+	if sendFirst {
+		sender.run()
+	} else {
+		go sender.run()
+	}
 	response, err := http.ReadResponse(bufio.NewReader(c), r)
 	if err != nil {
 		return 0, err
@@ -278,11 +283,13 @@
 		} {
 			for _, e := range []*configurer.Settings{f.node, other} {
 				for _, chunked := range []bool{false, true} {
-					for range 4 {
+					for i := range 4 {
 						sent++
-						got, err := sendEarly(s, e, answer.String(), chunked)
-						qt.Check(t, err, qt.IsNil, qt.Commentf("%+v chunked=%t through %s", answer, chunked, e.Instance))
-						qt.Check(t, got, qt.Equals, answer.length, qt.Commentf("%+v chunked=%t through %s", answer, chunked, e.Instance))
+						sendFirst := i%2 == 1
+						got, err := sendEarly(s, e, answer.String(), chunked, sendFirst)
+						comment := qt.Commentf("%+v chunked=%t sendFirst=%t through %s", answer, chunked, sendFirst, e.Instance)
+						qt.Check(t, err, qt.IsNil, comment)
+						qt.Check(t, got, qt.Equals, answer.length, comment)
 					}
 				}
 			}
