Early answers: a pause of the sender no longer costs it the answer

A caller that paused for 0.3 s in the middle of its body lost the rest of an early answer: the target's node took the pause for the end, closed, and the entry node's transport gave up the answer that it was still passing on.

Found by one red run of all tests (TestEarlyAnswerMixesUpBody, 128,000 of 307,200 bytes); the first form of the test did not show it again in 11 runs, beside busy processes, beside other tests and six at a time. With callers that pause it failed in 8 of 8 requests of that kind, with the same length. Now the target's node waits until the entry node has passed the answer on, where its length is known; the short pause is left to answers of unknown length.

With it, from reading the change: the deadline of a read is set while the body is still lent, so a former reader cannot set it later; and a stopping entry node knows a long body before it has begun to read it, so that an upload without a time bound is refused there too (the test set the mark by hand).

The new process tests do not run beside the others: they take processor time, and TestTargetGetsMoreThanItsLimit/100/native failed once beside them (164 of 300 in the second after the limit, 180 asked), in the same run.

--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -119,6 +119,11 @@
 	return 0
 }
 
+// hasLongBody reports whether a request's body is, or may be, too long to be buffered.
+func hasLongBody(r *http.Request) bool {
+	return r.ContentLength < 0 || r.ContentLength > maxReplayableBody
+}
+
 // timeLeft returns the time until the deadline.
 func (x *Exchange) timeLeft(now time.Time) time.Duration { return x.deadline.Sub(now) }
 
@@ -166,8 +171,10 @@
 	if !x.streamed {
 		return opaqueBody{bytes.NewReader(x.bufferedBody)}, int64(len(x.bufferedBody))
 	}
-	rest := newStallReader(x.writer, x.request.Body)
-	x.streamedBody = &streamedBody{exchange: x, reader: io.MultiReader(bytes.NewReader(x.bodyPrefix), rest)}
+	x.streamedBody = &streamedBody{
+		exchange: x, reader: io.MultiReader(bytes.NewReader(x.bodyPrefix), x.request.Body),
+		controller: http.NewResponseController(x.writer),
+	}
 	return x.streamedBody, x.request.ContentLength
 }
 
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -172,7 +172,7 @@
 	x.request = r.WithContext(ctx)
 	x.cancel = cancel
 	f.entry(x)
-	x.finishBody()
+	x.finishBody(f.deps.Clock.Now())
 }
 
 // ServeHop serves the requests that entry nodes send to this node's target. The
@@ -192,14 +192,14 @@
 		writer: w, request: r, config: f.deps.Config.Current(), startedAt: now, hop: hop, atTargetNode: true, onRefusal: f.logHopRefusal,
 		budget: retrier.NewBudget(hop.Retries), deadline: now.Add(time.Duration(hop.Timeout) * time.Microsecond),
 	}
-	if length := r.ContentLength; length < 0 || length > maxReplayableBody {
+	if hasLongBody(r) {
 		x.streamBody()
 	} else if err := x.bufferBody(); err != nil {
 		x.refuse(bodyRefusal(err))
 		return
 	}
 	f.hop(x)
-	x.finishBody()
+	x.finishBody(f.deps.Clock.Now())
 }
 
 // IsHop reports whether a request on the listener for other nodes is a hop.
--- a/pkg/forwarder/stop_filter.go
+++ b/pkg/forwarder/stop_filter.go
@@ -47,10 +47,16 @@
 	}
 	// A call with a known parent ends with it: the parent runs at this node's target,
 	// and rejecting the call would make it fail for certain.
-	if x.parent != nil || now.Before(from) || !x.deadline.Add(x.allowance()).After(stop.Ends) {
+	if x.parent != nil || now.Before(from) || x.endsBefore(stop.Ends) {
 		next(x)
 		return
 	}
 	s.forwarder.count("refused_stop")
 	x.refuse(refuse(http.StatusServiceUnavailable, ReasonStop, max(stop.Ends.Sub(now), restartDelay), "this node ends before the deadline of the request"))
 }
+
+// endsBefore reports whether the request is answered by a time, or its deadline passes. A
+// long body on a route without an objective has no such bound, see allowance.
+func (x *Exchange) endsBefore(t time.Time) bool {
+	return !x.deadline.After(t) && (x.hop.Objective != 0 || !hasLongBody(x.request))
+}
--- a/pkg/forwarder/stop_filter_test.go
+++ b/pkg/forwarder/stop_filter_test.go
@@ -18,17 +18,17 @@
 func TestStopTakesOnlyWhatEndsInTime(t *testing.T) {
 	const callersGone, nodesGone, ends = 3 * time.Second, 1500 * time.Millisecond, 5600 * time.Millisecond
 	for _, test := range []struct {
-		name          string
-		at, timeout   time.Duration
-		hop, streamed bool
-		parent        *InFlightRequest
-		taken         bool
+		name        string
+		at, timeout time.Duration
+		hop, upload bool
+		parent      *InFlightRequest
+		taken       bool
 	}{
 		{name: "a caller that cannot know yet", at: 2900 * time.Millisecond, timeout: 5 * time.Second, taken: true},
 		{name: "a short request after that", at: 4 * time.Second, timeout: 1500 * time.Millisecond, taken: true},
 		{name: "a long request after that", at: 4 * time.Second, timeout: 1700 * time.Millisecond},
 		{name: "a request at the very end", at: ends, timeout: time.Second},
-		{name: "an upload without a time bound", at: 4 * time.Second, timeout: time.Second, streamed: true},
+		{name: "an upload without a time bound", at: 4 * time.Second, timeout: time.Second, upload: true},
 		{name: "a call whose parent runs here", at: 5 * time.Second, timeout: 5 * time.Second, parent: &InFlightRequest{}, taken: true},
 		{name: "a hop of a node that cannot know yet", at: time.Second, timeout: 5 * time.Second, hop: true, taken: true},
 		{name: "a short hop after that", at: 2 * time.Second, timeout: 3 * time.Second, hop: true, taken: true},
@@ -42,9 +42,12 @@
 		w := httptest.NewRecorder()
 		x := &Exchange{
 			writer: w, request: httptest.NewRequest(http.MethodPost, "/x", nil), hop: &control.Hop{}, dialect: Native{},
-			atTargetNode: test.hop, deadline: clock.Now().Add(test.timeout), streamed: test.streamed, parent: test.parent,
+			atTargetNode: test.hop, deadline: clock.Now().Add(test.timeout), parent: test.parent,
 			budget: retrier.NewBudget(0),
 		}
+		if test.upload {
+			x.request.ContentLength = maxReplayableBody + 1
+		}
 		taken := false
 		(&stopFilter{f}).Serve(x, func(*Exchange) { taken = true })
 		qt.Check(t, taken, qt.Equals, test.taken, qt.Commentf("%s", test.name))
--- a/pkg/forwarder/streamed_body.go
+++ b/pkg/forwarder/streamed_body.go
@@ -13,10 +13,10 @@
 	// a connection that is closed with unread bytes is reset, and its caller may lose
 	// the answer.
 	bodyLinger = 2 * time.Second
-	// lingerPause is how long a sender may pause in that time. One that waits for the
-	// end of the answer must not be kept waiting: the end of an answer of unknown length
-	// is written when the handler returns.
-	lingerPause = 200 * time.Millisecond
+	// lingerPause is how long a sender may pause in that time if the answer has no known
+	// length. Its end is written when the handler returns, and a sender that waits for it
+	// must not be kept waiting.
+	lingerPause = 500 * time.Millisecond
 	// maxLingerBytes bounds how much of that rest is read.
 	maxLingerBytes = 16 << 20
 )
@@ -45,12 +45,13 @@
 // streamedBody lends the stream of a request's body to the transport of one attempt, the
 // only reader until it is detached.
 type streamedBody struct {
-	exchange *Exchange
-	reader   io.Reader
+	exchange   *Exchange
+	reader     io.Reader
+	controller *http.ResponseController
 
 	// reading is held during a read, which may last as long as the sender is silent.
 	reading sync.Mutex
-	// mu guards detached.
+	// mu guards detached, and the deadline of reads until then.
 	mu       sync.Mutex
 	detached bool
 }
@@ -63,20 +64,34 @@
 		return 0, errBodyDetached
 	}
 	n, err := b.reader.Read(p)
-	if err == io.EOF {
-		b.exchange.bodyEnded.Store(true)
-	}
+	b.end(err)
 	return n, err
 }
 
-// begin records that the body is read from, unless it is detached.
+// begin records that the body is read from, and bounds the read, unless the body is
+// detached.
 func (b *streamedBody) begin() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.detached {
-		b.exchange.bodyRead.Store(true)
+	if b.detached {
+		return false
+	}
+	b.exchange.bodyRead.Store(true)
+	// An error means that the writer supports no deadlines, as in tests.
+	_ = b.controller.SetReadDeadline(time.Now().Add(stallTimeout))
+	return true
+}
+
+// end records the end of the body, and lifts the bound after the last read.
+func (b *streamedBody) end(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == io.EOF {
+		b.exchange.bodyEnded.Store(true)
+	}
+	if err != nil && !b.detached {
+		_ = b.controller.SetReadDeadline(time.Time{})
 	}
-	return !b.detached
 }
 
 // detach ends the loan: later reads fail, so that nothing that follows a gap is sent.
@@ -100,16 +115,17 @@
 
 // finishBody ends the loan of a streamed body whose request was answered early, and reads
 // the rest as long as it keeps coming, so that the sender finds the answer.
-func (x *Exchange) finishBody() {
+func (x *Exchange) finishBody(now time.Time) {
 	if !x.streamed || x.bodyEnded.Load() {
 		return
 	}
 	controller := http.NewResponseController(x.writer)
 	// Errors mean that the sender has disconnected; the reads below fail then.
 	_ = controller.Flush()
-	_ = controller.SetReadDeadline(time.Now().Add(lingerPause))
+	pause, linger := x.lingerTimes(now)
 	if x.streamedBody != nil {
 		x.streamedBody.detach()
+		_ = controller.SetReadDeadline(time.Now().Add(pause))
 		// A read in progress ends with the next bytes, or at the deadline. It must not
 		// outlast the handler: net/http then spoils the reader of a chunked body.
 		x.streamedBody.reading.Lock()
@@ -117,9 +133,9 @@
 	}
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
-	left, end := maxLingerBytes, time.Now().Add(bodyLinger)
+	left, end := maxLingerBytes, time.Now().Add(linger)
 	for left > 0 && time.Now().Before(end) {
-		_ = controller.SetReadDeadline(time.Now().Add(lingerPause))
+		_ = controller.SetReadDeadline(time.Now().Add(pause))
 		n, err := x.request.Body.Read(*buffer)
 		if err != nil {
 			return
@@ -127,3 +143,17 @@
 		left -= n
 	}
 }
+
+// lingerTimes returns how long the sender may pause while the rest of its body is read,
+// and how long that lasts. An entry node passes an answer on as fast as its caller reads,
+// and closes the connection after that.
+func (x *Exchange) lingerTimes(now time.Time) (pause, linger time.Duration) {
+	if x.writer.Header().Get("Content-Length") == "" {
+		return lingerPause, bodyLinger
+	}
+	linger = bodyLinger
+	if x.atTargetNode {
+		linger = max(linger, x.timeLeft(now)+bodyGrace)
+	}
+	return linger, linger
+}
--- a/test/early_answer_test.go
+++ b/test/early_answer_test.go
@@ -21,10 +21,12 @@
 const (
 	// earlyBodyBytes is the length of the bodies, more than net/http reads by itself
 	// after a response, and earlyReadBytes what the target has read when it answers.
-	earlyBodyBytes = 600 << 10
+	earlyBodyBytes = 640 << 10
 	earlyReadBytes = 20 << 10
 	// earlyPause lets the answer pass through the nodes before the target reads on.
 	earlyPause = 20 * time.Millisecond
+	// callerPause is how long some callers are silent in the middle of a body.
+	callerPause = 300 * time.Millisecond
 )
 
 // numberedBody is a body in which each four bytes hold their position.
@@ -189,9 +191,9 @@
 }
 
 // sendEarly sends a body to an entry node, whether or not the answer has come, and reads
-// the answer, meanwhile or, with sendFirst, when all is sent. It returns the length of the
-// answer's body.
-func sendEarly(s interfaceDriver, entry *configurer.Settings, answer string, chunked, sendFirst bool) (int, error) {
+// the answer, meanwhile or, with sendFirst, when all is sent. It is silent for pause in the
+// middle of the body. It returns the length of the answer's body.
+func sendEarly(s interfaceDriver, entry *configurer.Settings, answer string, chunked, sendFirst bool, pause time.Duration) (int, error) {
 	r := s.request(entry, "/open/x?answer="+answer, "")
 	c, err := net.DialTimeout("tcp", entry.Listen, waitTimeout)
 	if err != nil {
@@ -202,7 +204,7 @@
 	var head strings.Builder
 	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\n", r.URL.RequestURI(), r.Host)
 	_ = r.Header.Write(&head)
-	sender := &earlySender{conn: c, chunked: chunked, done: make(chan error, 1)}
+	sender := &earlySender{conn: c, chunked: chunked, pause: pause, done: make(chan error, 1)}
 	if chunked {
 		head.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 	} else {
@@ -233,6 +235,7 @@
 type earlySender struct {
 	conn    net.Conn
 	chunked bool
+	pause   time.Duration
 	done    chan error
 }
 
@@ -254,6 +257,9 @@
 			return
 		}
 		body = body[n:]
+		if len(body) == earlyBodyBytes/2 {
+			time.Sleep(s.pause)
+		}
 		time.Sleep(time.Millisecond)
 	}
 	s.done <- nil
@@ -263,7 +269,6 @@
 // long body and then gets, where the rest is due, bytes from further on in it or its end.
 // The caller gets the whole answer, whatever its length.
 func TestEarlyAnswerMixesUpBody(t *testing.T) {
-	t.Parallel()
 	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
 		target := newEarlyTarget(t, s)
 		f := newInterfaceFleet(t, s, target.listener.Addr().String())
@@ -283,11 +288,11 @@
 		} {
 			for _, e := range []*configurer.Settings{f.node, other} {
 				for _, chunked := range []bool{false, true} {
-					for i := range 4 {
+					for i := range 3 {
 						sent++
-						sendFirst := i%2 == 1
-						got, err := sendEarly(s, e, answer.String(), chunked, sendFirst)
-						comment := qt.Commentf("%+v chunked=%t sendFirst=%t through %s", answer, chunked, sendFirst, e.Instance)
+						sendFirst, pause := i > 0, time.Duration(i/2)*callerPause
+						got, err := sendEarly(s, e, answer.String(), chunked, sendFirst, pause)
+						comment := qt.Commentf("%+v chunked=%t sendFirst=%t pause=%v through %s", answer, chunked, sendFirst, pause, e.Instance)
 						qt.Check(t, err, qt.IsNil, comment)
 						qt.Check(t, got, qt.Equals, answer.length, comment)
 					}
@@ -313,7 +318,6 @@
 // TestWholeUploadKeepsConnection guards against a connection that is closed although the
 // target has read the whole body before it answered.
 func TestWholeUploadKeepsConnection(t *testing.T) {
-	t.Parallel()
 	forBothInterfaces(t, func(t *testing.T, s interfaceDriver) {
 		target := newEchoTarget(t)
 		f := newInterfaceFleet(t, s, target.address)
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -107,7 +107,6 @@
 // TestStoppingNodeTakesWhatItCannotAnswer guards against a stopping node that passes
 // on requests as long as its own target is at work, and breaks them off at its end.
 func TestStoppingNodeTakesWhatItCannotAnswer(t *testing.T) {
-	t.Parallel()
 	f, stopping, other := newStopFleet(t)
 	callers := &stopCallers{node: stopping, stop: make(chan struct{})}
 	for i := range stopWorkers {
@@ -153,7 +152,6 @@
 // TestStoppingNodeEndsEarlyWhenIdle guards against a stop that lasts the whole grace
 // time although nothing is left to answer.
 func TestStoppingNodeEndsEarlyWhenIdle(t *testing.T) {
-	t.Parallel()
 	f, stopping, _ := newStopFleet(t)
 	signalled := time.Now()
 	f.signal(stopping.daemon, syscall.SIGTERM)
