Departures: known during a stop, checked at the last moment, one log line

A target that leaves while its node stops was known to that process only (TestDepartureDuringStopIsForgotten): the node's entry names it now, and a stopping node's own entry is told apart by its slots. An announcement under way can't set a target that leaves meanwhile. Ignored announcements are logged at one place, also those that were held and those of the own interface.

--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -60,6 +60,8 @@
 	// TargetLeft is called when no target takes new work since this life has said
 	// that it leaves. It never takes new work again.
 	TargetLeft(life string)
+	// AnnouncementIgnored is called when an announcement or a report has no effect.
+	AnnouncementIgnored(err *IgnoredError)
 	// TargetCrashed is called when a life of the target has crashed, but not again
 	// while that life is the last one reported as crashed.
 	TargetCrashed(target *forwarder.Target)
@@ -91,7 +93,7 @@
 	departures departures
 	// holding is set while announcements are held, in held.
 	holding bool
-	held    []func()
+	held    []func() error
 }
 
 // Report is an announcement in a fleet whose targets report at a fixed interval
@@ -118,35 +120,44 @@
 // does not take are ignored, with an *IgnoredError. A life that counts as crashed is
 // accepted again only if its target listens.
 func (a *Announcer) Report(r Report, drain time.Duration) error {
-	if err := a.checkPlace(r.Announcement); err != nil {
-		return err
+	if reason := a.checkPlace(r.Announcement); reason != "" {
+		return a.ignore(r.Announcement, reason)
 	}
 	if r.Leaving {
-		a.judge(r)
+		a.mu.Lock()
+		a.arbiter.take(r, a.clock.Now())
+		a.mu.Unlock()
 		a.Leave(r.Life, drain)
 		return nil
 	}
-	if a.hold(func() { _ = a.accept(r) }) {
+	if a.hold(func() error { return a.accept(r) }) {
 		return nil
 	}
 	return a.accept(r)
 }
 
+// ignore tells the listener that an announcement has no effect, and returns the error.
+func (a *Announcer) ignore(ann Announcement, reason IgnoredReason) error {
+	err := &IgnoredError{Announcement: ann, Reason: reason}
+	a.listener.AnnouncementIgnored(err)
+	return err
+}
+
 // accept makes a report of readiness take effect.
 func (a *Announcer) accept(r Report) error {
 	a.mu.Lock()
-	if a.departures.contain(r.Life, r.Target, a.clock.Now()) {
-		a.mu.Unlock()
-		return &IgnoredError{Life: r.Life, Reason: ReasonLeft}
-	}
-	a.mu.Unlock()
-	if !a.judge(r) {
-		return &IgnoredError{Life: r.Life, Reason: ReasonLate}
-	}
-	a.mu.Lock()
+	now := a.clock.Now()
+	left := a.departures.contain(r.Life, r.Target, now)
+	late := !left && !a.arbiter.take(r, now)
 	previous := a.target
 	crashed := r.Life == a.crashedLife
 	a.mu.Unlock()
+	if left {
+		return a.ignore(r.Announcement, ReasonLeft)
+	}
+	if late {
+		return a.ignore(r.Announcement, ReasonLate)
+	}
 	if crashed {
 		a.probeCrashed(&r)
 		return nil
@@ -155,26 +166,19 @@
 	return nil
 }
 
-// judge reports whether the arbiter takes a report.
-func (a *Announcer) judge(r Report) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.arbiter.take(r, a.clock.Now())
-}
-
-// checkPlace returns an *IgnoredError if an announcement is not about the own target.
-func (a *Announcer) checkPlace(ann Announcement) error {
+// checkPlace returns why an announcement is not about the own target; empty if it is.
+func (a *Announcer) checkPlace(ann Announcement) IgnoredReason {
 	if a.place == nil {
-		return nil
+		return ""
 	}
 	place := a.place()
 	switch {
 	case place.Service != "" && place.Service != ann.Service:
-		return &IgnoredError{Life: ann.Life, Reason: ReasonService}
+		return ReasonService
 	case place.Address != "" && place.Address != ann.Address:
-		return &IgnoredError{Life: ann.Life, Reason: ReasonAddress}
+		return ReasonAddress
 	}
-	return nil
+	return ""
 }
 
 func newTarget(ann Announcement) *forwarder.Target {
@@ -196,17 +200,21 @@
 }
 
 // depart records that a life has left. It returns the target if that is this life and
-// was not leaving, and whether the listener must be notified.
+// was not leaving, and whether the listener must be notified: of what others do not know,
+// unless another life is in use. The target may be leaving since the node stops.
 func (a *Announcer) depart(life string) (target *forwarder.Target, notify bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known := a.departures.add(life)
-	switch {
-	case a.target == nil:
+	if a.target == nil {
 		return nil, !known
-	case a.target.Life != life || a.leaving:
+	}
+	if a.target.Life != life {
 		return nil, false
 	}
+	if a.leaving {
+		return nil, !known
+	}
 	a.leaving = true
 	return a.target, true
 }
@@ -400,10 +408,10 @@
 // Announce accepts a first announcement or a renewal. It returns an *IgnoredError if
 // the announcement is not about the own target or the life has left.
 func (a *Announcer) Announce(ann Announcement) error {
-	if err := a.checkPlace(ann); err != nil {
-		return err
+	if reason := a.checkPlace(ann); reason != "" {
+		return a.ignore(ann, reason)
 	}
-	if a.hold(func() { _ = a.Announce(ann) }) {
+	if a.hold(func() error { return a.Announce(ann) }) {
 		return nil
 	}
 	a.mu.Lock()
@@ -417,9 +425,9 @@
 	a.mu.Unlock()
 	switch {
 	case left:
-		return &IgnoredError{Life: ann.Life, Reason: ReasonLeft}
+		return a.ignore(ann, ReasonLeft)
 	case late:
-		return &IgnoredError{Life: ann.Life, Reason: ReasonLate}
+		return a.ignore(ann, ReasonLate)
 	case crashed:
 		a.probeCrashed(&Report{Announcement: ann, Cold: defaultColdTime, TTL: leaseTTL})
 		return nil
@@ -439,6 +447,11 @@
 // rejoin is set.
 func (a *Announcer) announce(ann Announcement, ttl, cold time.Duration, rejoin bool) {
 	a.mu.Lock()
+	if a.departures.lives[ann.Life] {
+		// It left while the announcement was checked.
+		a.mu.Unlock()
+		return
+	}
 	old := a.target
 	next := newTarget(ann)
 	a.expiresAt = a.clock.Now().Add(ttl)
--- a/pkg/announcer/announcer_test.go
+++ b/pkg/announcer/announcer_test.go
@@ -39,6 +39,8 @@
 	l.life, l.left = "", append(l.left, life)
 }
 
+func (l *listener) AnnouncementIgnored(*announcer.IgnoredError) {}
+
 func (l *listener) TargetCrashed(t *forwarder.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -261,6 +263,18 @@
 	qt.Assert(t, s.listener.currentLife(), qt.Equals, "a/10")
 }
 
+// TestDepartureDuringStopIsForgotten guards against a target that leaves while its node
+// stops, which only the node's former process knows.
+func TestDepartureDuringStopIsForgotten(t *testing.T) {
+	s := newFixture()
+	s.report("a/10", 10, 1, false)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = s.Drain(ctx)
+	s.report("a/10", 10, 2, true)
+	qt.Assert(t, s.listener.left, qt.DeepEquals, []string{"a/10"})
+}
+
 // TestHeldReportMissesDeparture guards against a starting node that takes a report before
 // it has learned that the life had left.
 func TestHeldReportMissesDeparture(t *testing.T) {
--- a/pkg/announcer/arbiter.go
+++ b/pkg/announcer/arbiter.go
@@ -15,7 +15,7 @@
 	life        string
 	startMillis int64
 	sequence    uint64
-	// claimant is a life whose report was not taken, last at claimedAt. The next one
+	// claimant is a life whose report was not taken, first at claimedAt. A later one
 	// shows that it goes on, unless the last life has reported in between.
 	claimant  string
 	claimedAt time.Time
--- a/pkg/announcer/departures.go
+++ b/pkg/announcer/departures.go
@@ -33,13 +33,13 @@
 
 // IgnoredError reports that an announcement has no effect.
 type IgnoredError struct {
-	Life   string
-	Reason IgnoredReason
+	Announcement Announcement
+	Reason       IgnoredReason
 }
 
 // Error implements error.
 func (e *IgnoredError) Error() string {
-	return fmt.Sprintf("the announcement of %s is not taken: %s", e.Life, e.Reason)
+	return fmt.Sprintf("the announcement of %s is not taken: %s", e.Announcement.Life, e.Reason)
 }
 
 // departures remembers the lives that have left: what a node has acknowledged binds
@@ -102,12 +102,13 @@
 	a.holding, a.held = false, nil
 	a.mu.Unlock()
 	for _, take := range held {
-		take()
+		// The listener learns of those without effect; their senders have their answer.
+		_ = take()
 	}
 }
 
 // hold keeps an announcement while the announcer holds, and reports whether it does.
-func (a *Announcer) hold(take func()) bool {
+func (a *Announcer) hold(take func() error) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.holding {
--- a/pkg/gossiper/table.go
+++ b/pkg/gossiper/table.go
@@ -28,10 +28,10 @@
 }
 
 // leftLife returns the life of the target that has left, as an entry states by naming a
-// life and no service; empty if there is none. The entry of a stopping node says nothing
-// about its target, which goes on.
+// life and neither service nor slots; empty if there is none. The entry of a stopping node
+// keeps the slots: its target goes on.
 func leftLife(e *control.Entry) string {
-	if e.Service != "" || e.State == control.State_STATE_LEAVING {
+	if e.Service != "" || e.Slots != 0 {
 		return ""
 	}
 	return e.Life
--- a/pkg/server/interface.go
+++ b/pkg/server/interface.go
@@ -144,18 +144,7 @@
 	if r.Address == "" {
 		r.Address = s.live.Load().Target
 	}
-	err := s.announcer.Report(r, s.live.Load().Drain.Duration)
-	if err != nil {
-		s.logIgnored(r, err)
-	}
-	return err
-}
-
-// logIgnored logs a report that has no effect.
-func (s *Server) logIgnored(r announcer.Report, err error) {
-	s.countEvent("reports_ignored", 1)
-	s.log.Warn("report_ignored", "life", r.Life, "service", r.Service, "address", r.Address, "sequence", r.Sequence,
-		"leaving", r.Leaving, "error", err.Error())
+	return s.announcer.Report(r, s.live.Load().Drain.Duration)
 }
 
 // End implements ControlBackend.
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -360,9 +360,9 @@
 		s.log.Info("target", "service", t.Service, "address", t.Address, "slots", t.Slots, "life", t.Life, "cold", cold)
 	}
 	s.gossip.UpdateSelf(func(e *control.Entry) {
-		if e.Service != "" {
-			// Without a service the entry names a life that has left, which others
-			// remember until the next one.
+		if e.Service != "" || e.Slots != 0 {
+			// Otherwise the entry names a life that has left, which others remember
+			// until the next one.
 			e.Life = ""
 		}
 		e.Service, e.Slots, e.Cold = "", 0, 0
@@ -383,6 +383,13 @@
 	s.gossip.Flush()
 }
 
+// AnnouncementIgnored implements announcer.Listener.
+func (s *Server) AnnouncementIgnored(err *announcer.IgnoredError) {
+	s.countEvent("reports_ignored", 1)
+	ann := err.Announcement
+	s.log.Warn("report_ignored", "life", ann.Life, "service", ann.Service, "address", ann.Address, "reason", string(err.Reason))
+}
+
 // targetLeaving stops new work for a target that states that it leaves. Requests from
 // nodes that do not know it yet are still served for the drain time.
 func (s *Server) targetLeaving(t *forwarder.Target) {
--- a/pkg/server/stop.go
+++ b/pkg/server/stop.go
@@ -16,12 +16,7 @@
 	times := s.beginStop()
 	ctx, cancel := context.WithTimeout(context.Background(), times.Ends.Sub(s.stopBegan))
 	defer cancel()
-	s.gossip.UpdateSelf(func(e *control.Entry) {
-		e.State = control.State_STATE_LEAVING
-		if e.Service != "" {
-			e.Service, e.Life = "", ""
-		}
-	})
+	s.gossip.UpdateSelf(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
 	if err := s.announcer.Drain(ctx); err != nil {
 		s.reportError("drain", err)
 	}
