A starting node no longer holds the reports of its target

Callers got more 503 after all nodes had lost power: each held the report of its target until its first sync with a node that had just started too.

The hold was there for the own callers of a restarted node, in the tenths of a second until another node tells it what has left; that gap is in the postmortem now. Other nodes do not use a life that had left, as before (TestRestartForgetsAcknowledgedDeparture). The two tests of the hold went with it; TestToldDepartureIsForgotten covers the report that comes first.

--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -91,9 +91,6 @@
 	endedLife string
 	// departures are the lives that have left for good.
 	departures departures
-	// holding is set while announcements are held, in held.
-	holding bool
-	held    []func() error
 }
 
 // Report is an announcement in a fleet whose targets report at a fixed interval
@@ -130,9 +127,6 @@
 		a.Leave(r.Life, drain)
 		return nil
 	}
-	if a.hold(func() error { return a.accept(r) }) {
-		return nil
-	}
 	return a.accept(r)
 }
 
@@ -411,9 +405,6 @@
 	if reason := a.checkPlace(ann); reason != "" {
 		return a.ignore(ann, reason)
 	}
-	if a.hold(func() error { return a.Announce(ann) }) {
-		return nil
-	}
 	a.mu.Lock()
 	now := a.clock.Now()
 	crashed := ann.Life == a.crashedLife
--- a/pkg/announcer/arbiter.go
+++ b/pkg/announcer/arbiter.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// minClaimInterval is the time between two reports of a life that count as two: reports
-// that were delayed together arrive at once.
-const minClaimInterval = time.Second
+const (
+	// minClaimInterval is the time between two reports of a life that count as two:
+	// reports that were delayed together arrive at once.
+	minClaimInterval = time.Second
+	// maxHeard bounds how many lives are remembered as reporting.
+	maxHeard = 16
+)
 
 // arbiter decides which reports are taken. Sequences order the reports of one life. A
 // start time is a number of the target's own clock: it decides which of two lives comes
@@ -77,7 +81,7 @@
 	if a.heard == nil {
 		a.heard = map[string]time.Time{}
 	}
-	if _, known := a.heard[life]; known || len(a.heard) < maxHeld {
+	if _, known := a.heard[life]; known || len(a.heard) < maxHeard {
 		a.heard[life] = now
 	}
 }
--- a/pkg/announcer/departures.go
+++ b/pkg/announcer/departures.go
@@ -12,8 +12,6 @@
 	// lateReportBound is how late a report may arrive. A target whose lives are not
 	// known is remembered for that long, so that its next start is not kept out.
 	lateReportBound = 8 * time.Second
-	// maxHeld bounds how many announcements are held; the oldest are dropped first.
-	maxHeld = 16
 )
 
 // IgnoredReason is one word for why an announcement has no effect.
@@ -86,37 +84,3 @@
 	at, ok := d.targets[target]
 	return d.lives[life] || ok && now.Sub(at) < lateReportBound
 }
-
-// Hold keeps announcements until Release. A node that has just started may have
-// acknowledged, before that, that a life leaves, which other nodes know.
-func (a *Announcer) Hold() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.holding = true
-}
-
-// Release makes the held announcements take effect, in the order of their arrival.
-func (a *Announcer) Release() {
-	a.mu.Lock()
-	held := a.held
-	a.holding, a.held = false, nil
-	a.mu.Unlock()
-	for _, take := range held {
-		// The listener learns of those without effect; their senders have their answer.
-		_ = take()
-	}
-}
-
-// hold keeps an announcement while the announcer holds, and reports whether it does.
-func (a *Announcer) hold(take func() error) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.holding {
-		return false
-	}
-	if len(a.held) >= maxHeld {
-		a.held = a.held[1:]
-	}
-	a.held = append(a.held, take)
-	return true
-}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -101,8 +101,6 @@
 	contacts map[string]bool
 	// learnedLeft lists lives of the own target that have left, until the node knows.
 	learnedLeft []string
-	// synced is set once a sync has succeeded.
-	synced bool
 	// lastReplicaContact is when a replica last sent a packet.
 	lastReplicaContact time.Time
 	// divergentPeers passes SyncLoop the address of a node with other members, keys
@@ -154,13 +152,6 @@
 	return g.self
 }
 
-// Synced reports whether this node has compared its table with that of another node.
-func (g *Gossiper) Synced() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.synced
-}
-
 // ContactCount returns how many instances have sent this node a packet or a sync
 // message.
 func (g *Gossiper) ContactCount() int {
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -297,12 +297,6 @@
 	return []*control.Entry{{Instance: instance, Life: m.leftLife}}
 }
 
-func (g *Gossiper) setSynced() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.synced = true
-}
-
 // finishSync merges the reply. If the two nodes differed, it sends a second request
 // with what the other node may lack: this node's entries in the buckets that
 // differ and, if the digests differ, all its keys and decisions.
@@ -314,7 +308,6 @@
 	own := g.node.Version()
 	g.mu.Unlock()
 	g.passLearnedLeft()
-	g.setSynced()
 	g.mergeItems(Items{Withdrawn: reply.Withdrawn, Suspects: reply.Suspects}, reply.From)
 	if reply.Version > own {
 		g.node.LearnVersion(reply.Version, address)
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -29,7 +29,6 @@
 		s.holder,
 		s.tokens,
 		s.announcer,
-		&announcementReleaser{s},
 		s.traffic,
 		&silenceLog{server: s},
 	}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -275,9 +275,6 @@
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 	s.announcer.SetPlace(s.place)
-	if len(s.seeds()) > 0 {
-		s.announcer.Hold()
-	}
 }
 
 // plainPeerConnector makes the connector for requests without a body to other
