--- a/test/early_answer_test.go
+++ b/test/early_answer_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"strings"
 	"sync"
 	"testing"
@@ -240,19 +239,10 @@
 }
 
 func (s *earlySender) run() {
-	var w io.Writer = s.conn
-	if s.chunked {
-		chunks := httputil.NewChunkedWriter(s.conn)
-		defer func() {
-			_ = chunks.Close()
-			_, _ = io.WriteString(s.conn, "\r\n")
-		}()
-		w = chunks
-	}
 	body := numberedBody(earlyBodyBytes)
 	for len(body) > 0 {
 		n := min(len(body), 8<<10)
-		if _, err := w.Write(body[:n]); err != nil {
+		if err := s.write(body[:n]); err != nil {
 			s.done <- err
 			return
 		}
@@ -262,9 +252,22 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
+	if s.chunked {
+		// The caller may have its answer, and the connection its end, by now.
+		_, _ = io.WriteString(s.conn, "0\r\n\r\n")
+	}
 	s.done <- nil
 }
 
+// write sends a piece of the body.
+func (s *earlySender) write(piece []byte) error {
+	if s.chunked {
+		piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+	}
+	_, err := s.conn.Write(piece)
+	return err
+}
+
 // TestEarlyAnswerMixesUpBody guards against a target that answers before it has read a
 // long body and then gets, where the rest is due, bytes from further on in it or its end.
 // The caller gets the whole answer, whatever its length.
