--- a/test/boundary_test.go
+++ b/test/boundary_test.go
@@ -16,7 +16,7 @@
 // deploy/, docs/PLATFORM.md and docs/incidents/ may contain them.
 var platformNames = regexp.MustCompile(`Instances\.(Heartbeat|Deregister)|Config\.(Put|Get)|Base-Version|Expected-Instance|Deadline-Ms|` +
 	`Not-Executed|Response-Signature|Server-Limit|Server-Leaving|Caller-Service|cold_remaining|traffic_split|path_prefix|target_latency|rate_per_s|api_keys|` +
-	`control_plane|app_address|internal_ports|heartbeat_address`)
+	`control_plane|app_address|internal_ports|heartbeat_address|cold_per_s|cold_start|Cold-Ms|cold_overage|cold_slack|Evacuate\.(Start|End)`)
 
 // TestPlatformNamesStayInTheirFolder checks that the other source files and pages
 // contain no name of the platform.
