Register: drained data centres

Cause: an operator could not state that nothing be sent to the targets of a data centre; the only way was to take their services out of the declaration.

Change: the register's value holds the drained data centres, and every change of it keeps them. planner.Drain states the wanted state of one data centre: a repeated order changes nothing and is acknowledged again, the last order taken stands, an unknown data centre is refused. The revision stays, so that an operator's next document is not stale. Replicas take orders through ControlBackend.Drain, operators with a plan through the operator service. The setting centres names the data centres that exist.

Ruled out: a document or declaration field, since the operators' documents are kept byte for byte and have revisions of their own; and a set in the gossip table as for withdrawn keys, since an order is revoked and two of them need an order.

Nothing acts on the value yet.

--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -27,6 +27,9 @@
 	Instance string `json:"instance"`
 	// Centre is the data centre of this instance.
 	Centre string `json:"centre"`
+	// Centres are the data centres that exist. Orders for others are refused, unless
+	// an instance there is known. It may be empty.
+	Centres []string `json:"centres"`
 	// Listen is the address for callers and for the own target's calls.
 	Listen string `json:"listen"`
 	// Peer is the address for other nodes, for both TCP and UDP.
@@ -225,6 +228,11 @@
 	if err := s.checkListeners(d); err != nil {
 		return err
 	}
+	for i, centre := range s.Centres {
+		if centre == "" {
+			return d.Problem(fmt.Sprintf("centres/%d", i), "is empty; the name of a data centre would be right")
+		}
+	}
 	lists := map[string][]string{"seeds": s.Seeds, "replicas": s.Replicas}
 	for _, name := range []string{"seeds", "replicas"} {
 		for i, address := range lists[name] {
@@ -307,10 +315,11 @@
 }
 
 // Reload returns a copy of the settings in which the values that may change while
-// the daemon runs are taken from newer: seeds, replicas, the own target and bounds.
+// the daemon runs are taken from newer: seeds, replicas, data centres, the own target
+// and bounds.
 func (s *Settings) Reload(newer *Settings) *Settings {
 	next := *s
-	next.Seeds, next.Replicas = newer.Seeds, newer.Replicas
+	next.Seeds, next.Replicas, next.Centres = newer.Seeds, newer.Replicas, newer.Centres
 	next.Grace, next.Drain, next.Contact = newer.Grace, newer.Drain, newer.Contact
 	next.Retry, next.Overage = newer.Retry, newer.Overage
 	next.Target, next.Service = newer.Target, newer.Service
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -1,6 +1,6 @@
 // Package planner turns the requests of operators into changes of the register: a
 // plan against the version in force, its confirmation, a document applied without
-// a plan, and the replacement of replicas. Each change is a compare-and-set.
+// a plan, the drain of a data centre, and the replacement of replicas. Each change is a compare-and-set.
 package planner
 
 import (
@@ -147,11 +147,15 @@
 			return &ConflictError{Base: base, Winner: c}
 		}
 	}
-	newest := &control.Change{Version: current.Version}
-	if len(current.Changes) > 0 {
-		newest = current.Changes[len(current.Changes)-1]
+	return &ConflictError{Base: base, Winner: newestChange(current)}
+}
+
+// newestChange returns the last audit entry, or one that names only the version.
+func newestChange(current *control.Value) *control.Change {
+	if len(current.Changes) == 0 {
+		return &control.Change{Version: current.Version}
 	}
-	return &ConflictError{Base: base, Winner: newest}
+	return current.Changes[len(current.Changes)-1]
 }
 
 // successor copies a value, with the next version and the change's audit entry. It
@@ -167,6 +171,7 @@
 		Version: change.Version, Epoch: current.Epoch, Declaration: current.Declaration, Changes: changes,
 		Replicas: current.Replicas, Former: current.Former, Divisions: current.Divisions,
 		Revision: current.Revision, Document: current.Document, Applied: current.Applied,
+		Drains: current.Drains,
 	}
 }
 
--- a/pkg/server/interface.go
+++ b/pkg/server/interface.go
@@ -34,6 +34,11 @@
 	// Read returns the newest document, or an *UncertainError when the node cannot
 	// determine which one that is.
 	Read(ctx context.Context) ([]byte, error)
+	// Drain orders that no request be sent to the targets of a data centre, or revokes
+	// that order. It returns nil if the order is in the register, now or by an earlier
+	// call, a *planner.UnknownCentreError if there is no such data centre, and an
+	// *UncertainError otherwise.
+	Drain(ctx context.Context, centre string, begin bool) error
 	// IsReplica reports whether this node has a data folder, and so can be a replica
 	// of the register.
 	IsReplica() bool
--- a/pkg/server/operator_service.go
+++ b/pkg/server/operator_service.go
@@ -181,6 +181,7 @@
 	reply := &control.StatusReply{
 		Version: value.Version, Epoch: value.Epoch, Replicas: value.Replicas,
 		Instance: s.settings.Instance, Ready: s.ready(), Tolerance: uint32(s.settings.Tolerance),
+		Drains: value.Drains,
 	}
 	entries := s.gossip.Members()
 	survey := &survey{server: s, work: make(chan *control.Entry, len(entries)), done: make(chan *control.Entry, len(entries))}
--- a/pkg/server/readiness.go
+++ b/pkg/server/readiness.go
@@ -14,14 +14,19 @@
 	if !s.config.Current().IsDeclared() {
 		return false
 	}
-	enough := s.gossip.ContactCount() >= min(minReadyContacts, len(s.seeds()))
-	if !enough && s.clock.Now().Sub(s.started) < readyTimeout {
+	if !s.hasContacts() {
 		return false
 	}
 	s.isReady.Store(true)
 	return true
 }
 
+// hasContacts reports whether the node has been in contact with enough nodes to know
+// the fleet, or has waited readyTimeout for that.
+func (s *Server) hasContacts() bool {
+	return s.gossip.ContactCount() >= min(minReadyContacts, len(s.seeds())) || s.clock.Now().Sub(s.started) >= readyTimeout
+}
+
 // inContact reports whether this node has had contact with a replica within the
 // time that the settings allow. Replicas, and nodes without a bound, always are.
 func (s *Server) inContact() bool {
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -109,6 +109,7 @@
 	return &control.Value{
 		Version: value.Version, Epoch: value.Epoch, Declaration: value.Declaration, Replicas: value.Replicas,
 		Former: value.Former, Divisions: value.Divisions, Revision: value.Revision, Document: value.Document, Brief: true,
+		Drains: value.Drains,
 	}, nil
 }
 
