Data path: nothing is sent to targets in drained data centres

Callers saw: requests went on to the targets of a data centre that an operator had drained.

Change: the list of targets that the router chooses from leaves out those in drained data centres. The node beside a target there takes no hop, and rejects those that wait in its queue when the order comes into force; running ones end. Each attempt uses the list of that moment, so a request that waits at its entry node, a retry and a call of a target are placed by the order. An entry node that learns of an order from a refusal passes over that data centre for the request, and counts the refusal neither against the target nor as a retry. A service whose targets are all in drained data centres is refused at once: 503, reason drained, not run.

Ruled out: gossip entries without their service in a drained data centre, since each node there would have to announce itself anew and one that is slow would be used; and an end to running requests, which have had effects.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -57,6 +57,12 @@
 	return fmt.Sprintf("the target's limit is used up, come back in %v", e.Wait)
 }
 
+// DrainedError is the error for a request to a target whose data centre is drained.
+type DrainedError struct{}
+
+// Error implements error.
+func (e *DrainedError) Error() string { return "the data centre is drained" }
+
 // Admitter admits requests to one target. It admits none until SetSlots is called.
 type Admitter struct {
 	clock     timekeeper.Clock
@@ -71,7 +77,9 @@
 	limit      int
 	inflight   int
 	queue      queue
-	level      level
+	// drained is set while no request may begin, since the data centre is drained.
+	drained bool
+	level   level
 	// pacer keeps the limit that the target names; pacedLevel is the admission level
 	// that follows from it.
 	pacer      pacer.Pacer
@@ -114,6 +122,23 @@
 	a.dispatch()
 }
 
+// SetDrained sets whether the data centre is drained. If it is, SetDrained rejects all
+// requests that wait, with a *DrainedError, and returns their number; running ones are
+// not affected.
+func (a *Admitter) SetDrained(drained bool) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.drained = drained
+	if !drained {
+		return 0
+	}
+	waiting := a.queue.clear()
+	for _, w := range waiting {
+		w.result <- &DrainedError{}
+	}
+	return len(waiting)
+}
+
 // Ticket represents an admitted request; Done must be called exactly once.
 type Ticket struct {
 	admitter *Admitter
@@ -125,10 +150,14 @@
 
 // Admit waits for a slot, at most for the queue timeout. It returns an
 // *OverloadError if the request got none, a *PacedError if that was for the limit
-// that the target names, or an error that wraps the context's error if the context was
-// done first.
+// that the target names, a *DrainedError if the data centre is drained, or an error that
+// wraps the context's error if the context was done first.
 func (a *Admitter) Admit(ctx context.Context, team string, p Priority) (*Ticket, error) {
 	a.mu.Lock()
+	if a.drained {
+		a.mu.Unlock()
+		return nil, &DrainedError{}
+	}
 	now := a.clock.Now()
 	a.recordArrival(p, now)
 	a.rejectExpired(now)
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -121,6 +121,19 @@
 	return lowest
 }
 
+// clear removes and returns all waiters.
+func (q *queue) clear() []*waiter {
+	var all []*waiter
+	for class := range classCount {
+		for _, t := range q.classes[class] {
+			all = append(all, t.waiters...)
+		}
+		q.classes[class] = nil
+	}
+	q.size = 0
+	return all
+}
+
 // expire removes and returns the waiters whose queue timeout has passed.
 func (q *queue) expire(now time.Time) []*waiter {
 	var expired []*waiter
--- a/pkg/enforcer/enforcer.go
+++ b/pkg/enforcer/enforcer.go
@@ -35,6 +35,8 @@
 	// teams maps a key hash to the name of its team.
 	teams  map[string]string
 	routes map[routeKey][]*declarer.Route
+	// drained holds the names of the drained data centres.
+	drained map[string]bool
 }
 
 // routeKey is the host, in lower case or empty for any, and the path without
@@ -64,6 +66,10 @@
 }
 
 func (c *Config) buildTables() {
+	c.drained = map[string]bool{}
+	for _, d := range c.value.GetDrains() {
+		c.drained[d.Centre] = true
+	}
 	c.teams = map[string]string{}
 	for name, t := range c.declaration.Teams {
 		for _, k := range t.Keys {
@@ -86,6 +92,12 @@
 // Version returns the version number; 0 means that no version is in force yet.
 func (c *Config) Version() uint64 { return c.value.GetVersion() }
 
+// Drained reports whether no request may be sent to the targets of a data centre.
+func (c *Config) Drained(centre string) bool { return c.drained[centre] }
+
+// Drains returns the drained data centres, sorted by name.
+func (c *Config) Drains() []*control.Drain { return c.value.GetDrains() }
+
 // IsDeclared reports whether this version holds anything that operators have
 // declared. The value that founds a fleet holds nothing.
 func (c *Config) IsDeclared() bool {
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -11,7 +11,7 @@
 
 // admitFilter waits for a free slot of this node's target. It rejects the
 // request when there is no target of its service, when the admitter is overloaded,
-// or when the deadline passes in the queue.
+// when the data centre is drained, or when the deadline passes in the queue.
 type admitFilter struct{ forwarder *Forwarder }
 
 // Serve implements Filter.
@@ -29,6 +29,7 @@
 	ticket, err := deps.Admitter.Admit(ctx, x.hop.Team, priorityOf(x))
 	var overload *admitter.OverloadError
 	var paced *admitter.PacedError
+	var drained *admitter.DrainedError
 	switch {
 	case err == nil:
 		x.ticket = ticket
@@ -41,6 +42,9 @@
 		a.forwarder.count("refused_limit")
 		a.forwarder.setStateHeaders(x, deps.Admitter.Load().PacedLevel)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLimit, paced.Wait, "%v", paced))
+	case errors.As(err, &drained):
+		a.forwarder.count("refused_drained")
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDrained, drainedRetryDelay, "%v", drained))
 	default:
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
 	}
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -35,8 +35,9 @@
 		f.inFlightTable.remove(inFlight, d.now())
 		x.ticket.Done(inFlight.callTime(), shed)
 	}()
-	// The request may have been quarantined while it waited for its slot.
-	if f.rejectQuarantined(x) {
+	// The request may have been quarantined, or the data centre drained, while it waited
+	// for its slot.
+	if f.rejectQuarantined(x) || f.rejectDrained(x) {
 		inFlight.deliveryEnd = endNotSent
 		return
 	}
--- a/pkg/forwarder/filters.go
+++ b/pkg/forwarder/filters.go
@@ -17,6 +17,7 @@
 		&routeFilter{f},
 		&stopFilter{f},
 		&keyFilter{f},
+		&drainFilter{f},
 		&quarantineFilter{f},
 		&shedFilter{f},
 		&rateFilter{f},
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -68,6 +68,11 @@
 	ReportMisdirected func(*Target)
 	// Targets returns the targets of a service that take new requests.
 	Targets func(service string) []*control.Entry
+	// DrainedCentres returns the data centres of a service's targets if all of them are
+	// in drained ones, and nil otherwise. It may be nil.
+	DrainedCentres func(service string) []string
+	// Centre is this node's data centre.
+	Centre string
 	// Target returns this node's target, or nil.
 	Target func() *Target
 	// Ready reports whether this node's configuration allows it to serve.
@@ -124,6 +129,7 @@
 	inFlightTable inFlightTable
 	trafficSplits trafficSplits
 	ownTarget     ownTarget
+	unknownDrains unknownDrains
 	// entry and hop run the filters of the entry node and of the target's node.
 	entry func(*Exchange)
 	hop   func(*Exchange)
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -95,6 +95,9 @@
 	// ReasonStop stands for requests that a stopping node may not answer before its
 	// process ends.
 	ReasonStop Reason = "stop"
+	// ReasonDrained stands for requests that only targets in drained data centres could
+	// serve.
+	ReasonDrained Reason = "drained"
 )
 
 // Refusal is the response that a node gives to a rejected request in place of a
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -124,13 +124,17 @@
 // shouldRetry reports whether another attempt is safe, useful and within its bound:
 // maxRejections after a rejection that cost the target nothing, otherwise the retry
 // budgets of the service and of the request, from which it takes one retry. A target
-// that rejected the request because of its limit is not asked again.
+// that rejected the request because of its limit is not asked again, nor one in a data
+// centre that is drained; the latter counts nowhere.
 func (s *sendFilter) shouldRetry(x *Exchange, a *attempt, tried map[string]bool) bool {
 	if x.bodyRead.Load() || x.timeLeft(s.now()) <= 0 || x.Context().Err() != nil || a.target == nil {
 		return false
 	}
 	switch r := a.result.(type) {
 	case *notRunResult:
+		if r.refusal.Reason == ReasonDrained {
+			return s.passOverCentre(x, a.target.Centre, tried)
+		}
 		if r.refusal.Reason != ReasonDeclined {
 			x.rejections++
 			if r.refusal.Reason == ReasonLimit && !s.forwarder.deps.Router.HasUntried(s.forwarder.deps.Targets(x.hop.Service), tried) {
@@ -180,6 +184,10 @@
 	}
 	a.target = s.forwarder.deps.Router.Choose(s.forwarder.deps.Targets(x.hop.Service), tried)
 	if a.target == nil {
+		if r := s.forwarder.drainRefusal(x.hop.Service); r != nil {
+			a.result = &notRunResult{refusal: r}
+			return a
+		}
 		a.result = &notRunResult{refusal: refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetRetryDelay, "no target of service %s is known", x.hop.Service)}
 		return a
 	}
@@ -346,9 +354,13 @@
 	case NotRun:
 		refusal := readRefusal(r, NotRun)
 		a.routerResult = router.Shed
-		if isPaced {
+		switch refusal.Reason {
+		case ReasonLimit:
 			a.routerResult = router.Paced
 			f.deps.Router.RecordPaced(a.target.Instance, refusal.JitteredWait())
+		case ReasonDrained:
+			a.routerResult = router.Drained
+			f.logUnknownDrain(x, a)
 		}
 		a.result = &notRunResult{refusal: refusal}
 		r.Body.Close()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -61,6 +61,9 @@
 	// Paced means that the target's node rejected the request because of the limit
 	// that the target names.
 	Paced
+	// Drained means that the target's node rejected the request because its data centre
+	// is drained, which says nothing about the target.
+	Drained
 	// Failed means that the connection broke, or that the answer had a failure
 	// status.
 	Failed
@@ -324,6 +327,7 @@
 		s.lastShed = now
 	case Paced:
 		s.failures = 0
+	case Drained:
 	case Failed:
 		s.recordFailure(now, took)
 	case Expired:
--- a/pkg/server/directory.go
+++ b/pkg/server/directory.go
@@ -22,6 +22,7 @@
 	caller *caller.Caller
 	centre string
 	clock  timekeeper.Clock
+	filter targetFilter
 
 	mu sync.Mutex
 	// peakNodes is the highest number of nodes other than replicas known at a
@@ -37,8 +38,25 @@
 
 var errUnknownInstance = errors.New("instance is not known")
 
-// targets lists the targets of a service that accept new requests.
-func (d *directory) targets(service string) []*control.Entry { return d.gossip.ServiceMembers(service) }
+// targets lists the targets of a service that accept new requests and are not in a
+// drained data centre.
+func (d *directory) targets(service string) []*control.Entry {
+	return d.filter.filter(service, d.gossip.ServiceMembers(service), d.config.Current())
+}
+
+// drainedCentres returns the data centres of a service's targets if all of them are in
+// drained ones, and nil otherwise.
+func (d *directory) drainedCentres(service string) []string {
+	if len(d.config.Current().Drains()) == 0 || len(d.targets(service)) > 0 {
+		return nil
+	}
+	var centres []string
+	for _, e := range d.gossip.ServiceMembers(service) {
+		centres = append(centres, e.Centre)
+	}
+	slices.Sort(centres)
+	return slices.Compact(centres)
+}
 
 // peakNodeCount is the highest number of nodes other than replicas known at a
 // time, at least 1. Budgets of the fleet are divided by it, so nodes that are
--- a/pkg/server/drain.go
+++ b/pkg/server/drain.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/planner"
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -78,6 +79,24 @@
 	}
 }
 
+// applyDrains brings the drains of a version into force on this node's target, and logs
+// them if they are others than before. The enforcer calls it for one version at a time.
+func (s *Server) applyDrains(c *enforcer.Config) {
+	released := s.admitter.SetDrained(c.Drained(s.settings.Centre))
+	equal := func(a, b *control.Drain) bool { return a.Centre == b.Centre && a.Version == b.Version }
+	if slices.EqualFunc(s.drains, c.Drains(), equal) {
+		return
+	}
+	s.drains = c.Drains()
+	var names, orders []string
+	for _, d := range s.drains {
+		names = append(names, d.Centre)
+		orders = append(orders, fmt.Sprintf("%s by %s, version %d, %s", d.Centre, d.Operator, d.Version, time.Unix(0, d.Since).UTC().Format(time.RFC3339)))
+	}
+	s.log.Info("drains", "centres", strings.Join(names, " "), "version", c.Version(), "orders", strings.Join(orders, "; "),
+		"own", c.Drained(s.settings.Centre), "released", released)
+}
+
 // Drain implements ControlBackend.
 func (c *controlBackend) Drain(ctx context.Context, centre string, begin bool) error {
 	d := &planner.Drain{Centre: centre, Begin: begin, Operator: "operator"}
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -9,6 +9,8 @@
 		{Name: "primrose_revision", Help: "Number that the operator gave to it.", Read: func() float64 { return float64(s.config.Current().Revision()) }},
 		{Name: "primrose_version_heard", Help: "Highest version that another instance is known to have, or the one in force.", Read: func() float64 { version, _ := s.fetcher.Behind(); return float64(version) }},
 		{Name: "primrose_behind_seconds", Help: "Time for which the version in force has been known not to be the highest.", Read: func() float64 { _, age := s.fetcher.Behind(); return age.Seconds() }},
+		{Name: "primrose_drained_centres", Help: "Drained data centres of the version in force.", Read: func() float64 { return float64(len(s.config.Current().Drains())) }},
+		{Name: "primrose_drained", Help: "Whether the own data centre is drained: 1, or 0.", Read: s.ownDrained},
 		{Name: "primrose_epoch", Help: "Epoch of the set of replicas.", Read: func() float64 { return float64(s.config.Current().Value().GetEpoch()) }},
 		{Name: "primrose_members", Help: "Instances in the gossip table.", Read: func() float64 { return float64(len(s.gossip.Members())) }},
 		{Name: "primrose_replica_heard_seconds", Help: "Age of the last word of a replica.", Read: s.replicaAge},
@@ -36,6 +38,14 @@
 	return s.clock.Now().Sub(last).Seconds()
 }
 
+// ownDrained returns 1 if the own data centre is drained, and 0 otherwise.
+func (s *Server) ownDrained() float64 {
+	if s.config.Current().Drained(s.settings.Centre) {
+		return 1
+	}
+	return 0
+}
+
 // targetRate returns the limit that the own target names, or -1 without one.
 func (s *Server) targetRate() float64 {
 	if rate, limited := s.forwarder.TargetLimit(); limited {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -105,6 +105,8 @@
 	router       *router.Router
 	forwarder    *forwarder.Forwarder
 	connector    *connector.Connector
+	// drains are the drains last applied. Only applyDrains uses it.
+	drains []*control.Drain
 
 	metrics  *expvar.Map
 	measurer *measurer.Measurer
@@ -267,6 +269,8 @@
 		Service:           s.ownService,
 		ReportMisdirected: func(t *forwarder.Target) { s.announcer.ReportMisdirected(t) },
 		Targets:           s.directory.targets,
+		DrainedCentres:    s.directory.drainedCentres,
+		Centre:            s.settings.Centre,
 		Target:            func() *forwarder.Target { return s.announcer.Target() },
 		Ready:             s.ready, InContact: s.inContact, Behind: s.fetcher.Behind, Changed: s.fetcher.Changed,
 		CheckTarget:   func(t *forwarder.Target) { s.announcer.CheckTarget(t) },
@@ -275,6 +279,8 @@
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 	s.announcer.SetPlace(s.place)
+	s.applyDrains(s.config.Current())
+	s.config.Subscribe(s.applyDrains)
 }
 
 // plainPeerConnector makes the connector for requests without a body to other
