--- a/pkg/planner/drain.go
+++ b/pkg/planner/drain.go
@@ -19,7 +19,7 @@
 
 // Error implements error.
 func (e *UnknownCentreError) Error() string {
-	return fmt.Sprintf("no data centre %q is known; there are %s", e.Centre, strings.Join(e.Known, ", "))
+	return fmt.Sprintf("data centre %q is not known; known: %s", e.Centre, strings.Join(e.Known, ", "))
 }
 
 // Drain orders that no request be sent to the targets of a data centre, or revokes
