Tool: primrose drain

Operators of the daemon's own interface had no way to drain a data centre.

Change: primrose drain begin and end make a plan, which primrose confirm puts into force as any other; plan only shows what a drain would change. Status lists the drained data centres with who, when and version. The list of pages in TestVerbsPage gets the new verb.

Ruled out: an order without a plan, which a repetition after a lost answer could make again over another operator's end.

--- a/pkg/commander/confirm.go
+++ b/pkg/commander/confirm.go
@@ -33,6 +33,10 @@
 	}
 	ctx, cancel := callContext()
 	defer cancel()
+	if d := p.Drain; d != nil {
+		reply, err := client.Drain(ctx, &control.DrainRequest{Centre: d.Centre, Begin: d.Begin, Id: p.ID, Base: p.Base})
+		return t.reportChange(reply, err)
+	}
 	reply, err := client.Confirm(ctx, &control.ConfirmRequest{Id: p.ID, Base: p.Base, Declaration: p.Declaration})
 	return t.reportChange(reply, err)
 }
--- a/pkg/commander/plan.go
+++ b/pkg/commander/plan.go
@@ -23,7 +23,15 @@
 type savedPlan struct {
 	ID          string          `json:"id"`
 	Base        uint64          `json:"base"`
-	Declaration json.RawMessage `json:"declaration"`
+	Declaration json.RawMessage `json:"declaration,omitempty"`
+	// Drain is set in place of Declaration if the plan is an order for a data centre.
+	Drain *savedDrain `json:"drain,omitempty"`
+}
+
+// savedDrain is the order of a plan for a data centre.
+type savedDrain struct {
+	Centre string `json:"centre"`
+	Begin  bool   `json:"begin"`
 }
 
 // defaultFolder is in the user's cache folder, or else in the folder for temporary
@@ -107,6 +115,13 @@
 	if err := plans.save(&savedPlan{ID: reply.Id, Base: reply.Base, Declaration: canonical}); err != nil {
 		return t.fail(err)
 	}
+	t.showPlan(reply)
+	t.showConfirmation(reply)
+	return exitOK
+}
+
+// showPlan prints what a plan would change.
+func (t *terminal) showPlan(reply *control.PlanReply) {
 	fmt.Fprintf(t.out, "plan %s on version %d\n", reply.Id, reply.Base)
 	for _, line := range reply.Lines {
 		fmt.Fprintln(t.out, "  "+line)
@@ -114,6 +129,9 @@
 	if len(reply.Lines) == 0 {
 		fmt.Fprintln(t.out, "  nothing changes")
 	}
+}
+
+// showConfirmation prints how to put a plan into force.
+func (t *terminal) showConfirmation(reply *control.PlanReply) {
 	fmt.Fprintf(t.out, "to put it into force: primrose confirm %s\n", reply.Id)
-	return exitOK
 }
--- a/pkg/commander/status.go
+++ b/pkg/commander/status.go
@@ -12,7 +12,7 @@
 
 var statusPage = helpPage{
 	name:  "status",
-	short: "Show the version in force at each instance, and the replicas.",
+	short: "Show the version in force at each instance, the replicas and drained data centres.",
 	usage: "primrose status [flags]",
 }
 
@@ -65,6 +65,7 @@
 	table.Flush()
 	fmt.Fprintf(t.out, "version %d, in force at %d of %d instances; %d replicas in epoch %d bear the loss of %d\n",
 		reply.Version, len(reply.Entries)-stale, len(reply.Entries), len(reply.Replicas), reply.Epoch, healer.ToleratedLosses(len(reply.Replicas)))
+	t.showDrains(reply.Drains)
 	if tolerance := int(reply.Tolerance); healer.ToleratedLosses(len(reply.Replicas)) < tolerance {
 		fmt.Fprintf(t.out, "the loss of %d is to be borne: %d replicas are needed\n", tolerance, healer.RequiredReplicas(tolerance))
 	}
--- a/pkg/commander/verbs.go
+++ b/pkg/commander/verbs.go
@@ -43,6 +43,7 @@
 		{showPage, runShow},
 		{keyPage, runKey},
 		{replacePage, runReplace},
+		{drainPage, runDrain},
 		{targetPage, runTarget},
 		{trialPage, runTrial},
 		{explainPage, runExplain},
--- a/test/help_test.go
+++ b/test/help_test.go
@@ -20,7 +20,7 @@
 	for _, args := range [][]string{
 		{"primrosed", "-help"}, {"primrose", "help"}, {"primrose", "help", "plan"}, {"primrose", "help", "confirm"},
 		{"primrose", "help", "status"}, {"primrose", "help", "audit"}, {"primrose", "help", "show"}, {"primrose", "help", "key"},
-		{"primrose", "help", "replace"}, {"primrose", "help", "target"}, {"primrose", "help", "trial"}, {"primrose", "help", "explain"},
+		{"primrose", "help", "replace"}, {"primrose", "help", "drain"}, {"primrose", "help", "target"}, {"primrose", "help", "trial"}, {"primrose", "help", "explain"},
 	} {
 		out, _ := exec.Command(filepath.Join(programFolder, args[0]), args[1:]...).CombinedOutput()
 		page.WriteString("\n## " + strings.Join(args, " ") + "\n\n```\n" + string(out) + "```\n")
