--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -37,6 +37,8 @@
 	// answer adds to the headers of an answer what the target must send, and what it
 	// states: a limit, if not empty, and whether it leaves.
 	answer(h http.Header, r *http.Request, limit string, leaving bool)
+	// drain sends an order for a data centre to a node, and returns the status.
+	drain(t *testing.T, node *configurer.Settings, centre string, begin bool) int
 	// request is a request of a caller at a node.
 	request(entry *configurer.Settings, path, key string) *http.Request
 }
@@ -285,6 +287,20 @@
 	}
 }
 
+func (nativeDriver) drain(t *testing.T, node *configurer.Settings, centre string, begin bool) int {
+	client := control.NewOperatorProtobufClient("http://"+node.Admin, http.DefaultClient)
+	plan, err := client.PlanDrain(context.Background(), &control.DrainRequest{Centre: centre, Begin: begin})
+	qt.Assert(t, err, qt.IsNil)
+	if plan.Refused != "" {
+		return http.StatusUnprocessableEntity
+	}
+	reply, err := client.Drain(context.Background(), &control.DrainRequest{Centre: centre, Begin: begin, Id: plan.Id, Base: plan.Base})
+	if err != nil || reply.Refused != "" {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
+
 func (nativeDriver) request(entry *configurer.Settings, path, key string) *http.Request {
 	r, _ := http.NewRequest(http.MethodGet, "http://"+entry.Listen+path, nil)
 	if key != "" {
@@ -357,6 +373,17 @@
 	}
 }
 
+func (platformDriver) drain(t *testing.T, node *configurer.Settings, centre string, begin bool) int {
+	call := "Evacuate.End"
+	if begin {
+		call = "Evacuate.Start"
+	}
+	response, err := http.Post("http://"+node.Control+"/"+call+"/"+centre, "", nil)
+	qt.Assert(t, err, qt.IsNil)
+	response.Body.Close()
+	return response.StatusCode
+}
+
 func (platformDriver) request(entry *configurer.Settings, path, key string) *http.Request {
 	r, _ := http.NewRequest(http.MethodGet, "http://"+entry.Listen+path, nil)
 	r.Host = "a.example"
