Retries: a run that failed is no longer reported as not run

Callers saw 503 not run for an idempotent request that one target had run and answered with 500, when all later attempts were refused: the send filter kept only attempts without an answer, not those that it gave up for a retry. It now answers 502, outcome unknown. TestRefusalAfterFailedRunClaimsNotRun got notrun and 503 before.

--- /dev/null
+++ b/pkg/forwarder/answered_retry_test.go
@@ -0,0 +1,58 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/pkg/router"
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+	"github.com/primrosewall/primrosewall/proto/control"
+)
+
+// failingPeers stands for the nodes of targets: the first attempt gets the target's own
+// failure, all later ones are refused by the node.
+type failingPeers struct{ attempts int }
+
+// RoundTrip implements http.RoundTripper.
+func (p *failingPeers) RoundTrip(*http.Request) (*http.Response, error) {
+	p.attempts++
+	w := httptest.NewRecorder()
+	if p.attempts == 1 {
+		w.WriteHeader(http.StatusInternalServerError)
+	} else {
+		refuse(http.StatusServiceUnavailable, ReasonLoad, time.Second, "no room").write(w)
+	}
+	return w.Result(), nil
+}
+
+// TestRefusalAfterFailedRunClaimsNotRun guards against a request that ran at one target,
+// was answered 500 there and refused elsewhere, and is reported as not run.
+func TestRefusalAfterFailedRunClaimsNotRun(t *testing.T) {
+	n := newStaleNode(t)
+	n.declare(t, 2, declarationWithKey(""))
+	var targets []*control.Entry
+	for _, name := range []string{"1", "2", "3"} {
+		targets = append(targets, &control.Entry{Instance: name, Centre: "west", Address: "west", Service: "hello", Slots: 9, State: control.State_STATE_ALIVE})
+	}
+	peers := &failingPeers{}
+	n.forwarder.deps.Router = router.New(timekeeper.RuntimeClock{}, "west0", "west", rand.New(rand.NewPCG(1, 1)))
+	n.forwarder.deps.Targets = func(string) []*control.Entry { return targets }
+	n.forwarder.deps.PeerTransport = peers
+	n.forwarder.deps.Retries = retrier.DefaultBounds
+	w := httptest.NewRecorder()
+	x := &Exchange{
+		writer: w, request: httptest.NewRequest(http.MethodGet, "/hello", nil), config: n.config.Current(),
+		hop: &control.Hop{Service: "hello", Id: "r1", Idempotent: true}, dialect: Native{}, budget: retrier.NewBudget(3),
+		deadline: time.Now().Add(time.Minute), bufferedBody: []byte{},
+	}
+	(&sendFilter{n.forwarder}).Serve(x, nil)
+	qt.Assert(t, peers.attempts > 1, qt.IsTrue)
+	qt.Check(t, w.Header().Get(HeaderOutcome), qt.Equals, string(Unknown))
+	qt.Check(t, w.Code, qt.Equals, http.StatusBadGateway)
+}
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -60,6 +60,10 @@
 			lastUnknown = u
 		}
 		if s.shouldRetry(x, a, tried) && x.reclaimBody() {
+			if r, ok := a.result.(*answeredResult); ok {
+				// It has run there, whatever becomes of the later attempts.
+				lastUnknown = &unknownResult{refusal: lostRefusal(http.StatusBadGateway, "instance %s answered with status %d, and no other target took the request", a.target.Instance, r.answer.status)}
+			}
 			a.abandon()
 			s.forwarder.count("retries")
 			continue
