Targets' nodes tell the work of their targets

An entry node knows of a target only its load in percent of the limit, and what its own requests took. It cannot tell a fast target from a slow one that nobody uses, nor the way to a data centre from the time there.

With the setting "placement": "finish" a target's node now adds the header Primrose-Work to each answer and each refusal of the admission: running and queued requests of all nodes, the limit in force (during a warm-up the lower one), the mean time in the target, and the time that the request spent at the node. The entry node records them in the router, and the difference between its own time and the last number as the network latency to the data centre; choices don't use them yet.

The mean is one of its own (pkg/admitter/work.go): the one that bounds the queue begins at 0, so that it is far too low for the first requests, and is kept over any idle time. Without the setting nothing is sent, and headers are ignored by nodes that don't know them.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -82,6 +82,8 @@
 	costs map[string]float64
 	// serviceSeconds is the mean time in the target over all teams.
 	serviceSeconds float64
+	// workTime is the same for entry nodes.
+	workTime workTime
 }
 
 // New returns an admitter that uses the given algorithm for the limit.
@@ -99,6 +101,7 @@
 	if warmup >= 0 {
 		a.warmupStart, a.warmupTime = a.clock.Now(), warmup
 		a.limit = initialLimit(a.algorithm, slots)
+		a.workTime = workTime{}
 	}
 	a.dispatch()
 }
@@ -348,6 +351,7 @@
 	elapsed := now.Sub(t.began)
 	a.inflight--
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
+	a.workTime.record(now, elapsed)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
 	a.limit = updateLimit(a.algorithm, sample{own: max(elapsed-callTime, 0), shed: shed, inflight: t.inflight}, a.slots)
 	a.advanceLevels(now)
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -57,6 +57,9 @@
 	// Rule is the algorithm that finds the concurrency limit of the own target:
 	// aimd, gradient or static.
 	Rule string `json:"rule"`
+	// Placement selects how targets are chosen: finish is by the expected time of
+	// completion; empty is by load, the own data centre first.
+	Placement string `json:"placement"`
 
 	// Interface selects a translation for callers, targets and operators; empty
 	// for the daemon's own protocol.
@@ -152,6 +155,9 @@
 	RuleStatic   = "static"
 )
 
+// PlacementFinish is the value of Settings.Placement other than the empty one.
+const PlacementFinish = "finish"
+
 // The values that Default uses.
 const (
 	defaultListen      = "127.0.0.1:7400"
@@ -284,6 +290,9 @@
 	if !slices.Contains([]string{RuleAIMD, RuleGradient, RuleStatic}, s.Rule) {
 		return d.Problem("rule", "is %q; aimd, gradient or static would be right", s.Rule)
 	}
+	if s.Placement != "" && s.Placement != PlacementFinish {
+		return d.Problem("placement", "is %q; finish, or nothing, would be right", s.Placement)
+	}
 	if len(s.Seeds) == 0 && !slices.Contains(s.Replicas, s.Peer) {
 		return d.Problem("seeds", "is empty and peer is not among the replicas; name at least one peer address to join by")
 	}
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -42,6 +42,7 @@
 		a.forwarder.setStateHeaders(x, deps.Admitter.Load().PacedLevel)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLimit, paced.Wait, "%v", paced))
 	default:
+		a.forwarder.setWorkHeader(x)
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
 	}
 }
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -166,6 +166,8 @@
 	}
 	answer.abort = func() { cancel(context.Canceled) }
 	x.setRetriesHeader()
+	// Reading the answer took time, which the first value does not contain.
+	f.setWorkHeader(x)
 	f.logHopAnswer(x, r.StatusCode)
 	// A buffered answer counts as complete even if the caller has disconnected.
 	if answer.stream == nil {
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -39,13 +39,14 @@
 	// the same idempotency key.
 	HeaderReplay = "Primrose-Replay"
 
-	// headerHop, headerRetries, headerLevel, headerLoad and headerLife are used only
-	// between nodes. headerLife says which life of the target HeaderLimit and
-	// HeaderLeaving are about.
+	// headerHop, headerRetries, headerLevel, headerLoad, headerWork and headerLife are
+	// used only between nodes. headerLife says which life of the target HeaderLimit and
+	// HeaderLeaving are about, headerWork what the target has to do for all nodes.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
 	headerLoad    = "Primrose-Load"
+	headerWork    = "Primrose-Work"
 	headerLife    = "Primrose-Life"
 
 	// headerTeam names the team of a request to the target.
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -229,7 +229,7 @@
 	// The target's node itself bounds the time for a short answer's body; this
 	// timer covers a node that stops responding.
 	a.timer.Reset(x.timeLeft(a.filter.now()) + x.allowance() + 2*bodyGrace)
-	a.handleResponse(x, response, delegated)
+	a.handleResponse(x, response, delegated, took)
 	if !x.hasCallerTimeout {
 		a.timer.Stop()
 	}
@@ -321,9 +321,9 @@
 }
 
 // handleResponse handles the response of the target's node: a refusal or the
-// target's answer. It also reads the unused retries, the admission level and the
-// load from the headers.
-func (a *attempt) handleResponse(x *Exchange, r *http.Response, delegated uint32) {
+// target's answer. It also reads the unused retries, the admission level, the load
+// and the work from the headers. took is the time until the response began.
+func (a *attempt) handleResponse(x *Exchange, r *http.Response, delegated uint32, took time.Duration) {
 	f := a.filter.forwarder
 	if f.deps.CountBytes != nil {
 		f.deps.CountBytes(a.target.Centre, max(x.request.ContentLength, 0)+max(r.ContentLength, 0))
@@ -341,6 +341,9 @@
 	if load, err := strconv.Atoi(r.Header.Get(headerLoad)); err == nil {
 		f.deps.Router.RecordLoad(a.target.Instance, float64(load)/100)
 	}
+	if work, ok := readWork(r.Header.Get(headerWork)); ok {
+		f.deps.Router.RecordWork(a.target.Instance, work, took)
+	}
 	a.recordPeerStatement(x, r.Header)
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
--- a/pkg/forwarder/target_state.go
+++ b/pkg/forwarder/target_state.go
@@ -150,6 +150,7 @@
 	h := x.writer.Header()
 	h.Set(headerLevel, strconv.FormatUint(uint64(max(load.Level, callLevel)), 10))
 	h.Set(headerLoad, strconv.Itoa(loadPercent(load)))
+	f.setWorkHeader(x)
 	setStatementHeaders(h, x.target.Life, f.ownTarget.tracker.Current(x.target.Life))
 }
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -95,6 +95,10 @@
 	// waiting requests make up.
 	load         float64
 	loadReported time.Time
+	// work is what the target's node last told, and distance the network latency to
+	// its data centre.
+	work     work
+	distance *distance
 	// statements holds what the target states about itself.
 	statements pacer.Tracker
 	// leavingLife is the life of the target that states that it leaves, if any.
@@ -119,11 +123,13 @@
 	services map[string]*candidates
 	// silences holds the silence of the other data centres by name.
 	silences map[string]*silence
+	// distances holds the distances of data centres by name.
+	distances map[string]*distance
 }
 
 // New returns a router for the node of an instance in a data centre.
 func New(clock timekeeper.Clock, instance, centre string, random *rand.Rand) *Router {
-	return &Router{clock: clock, instance: instance, centre: centre, random: random, stats: map[string]*targetStats{}, services: map[string]*candidates{}, silences: map[string]*silence{}}
+	return &Router{clock: clock, instance: instance, centre: centre, random: random, stats: map[string]*targetStats{}, services: map[string]*candidates{}, silences: map[string]*silence{}, distances: map[string]*distance{}}
 }
 
 // candidates are the members of a service that this node uses, in its own data
@@ -193,6 +199,7 @@
 func (r *Router) begin(e *control.Entry, now time.Time) *control.Entry {
 	s := r.targetStats(e)
 	s.inflight++
+	s.work.sent++
 	s.chosenAt = now
 	if s.silence != nil {
 		s.silence.recordSend(now)
@@ -299,7 +306,7 @@
 func (r *Router) targetStats(e *control.Entry) *targetStats {
 	s, ok := r.stats[e.Instance]
 	if !ok {
-		s = &targetStats{warmupStart: r.clock.Now(), silence: r.silence(e.Centre)}
+		s = &targetStats{warmupStart: r.clock.Now(), silence: r.silence(e.Centre), distance: r.distance(e.Centre)}
 		r.stats[e.Instance] = s
 	}
 	return s
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -260,6 +260,7 @@
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
 		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, CountEvent: s.countEvent, Observer: s.measurer,
 		Router:        s.router,
+		TellWork:      s.settings.Placement == configurer.PlacementFinish,
 		PeerTransport: forwarder.NewPeerTransport(s.sealer.Client()),
 		PeerConnector: s.plainPeerConnector(),
 		PeerScheme:    s.peerScheme(), Dialect: s.iface.Dialect,
