Router: choice of a target by the expected time of completion

What callers saw: with targets of one service that differ in speed, requests stay at the slow target of their data centre until it is 0.85 full, though they would end sooner elsewhere; and near the capacity requests cross between data centres that are equally loaded, back and forth.

Cause: the choice knows a target's load in percent, not how fast it is, and compares data centres by load alone.

Change: Router.PlaceByFinish selects another choice (pkg/router/finish.go, described in docs/design/placement.md): distance of the data centre + time in the target x max(1, (running + queued + own sends since) / limit), among two random targets of the own data centre and two of the others. Place also returns the cause. Choose without it is unchanged.

Ruled out, with figures, in the design note: leaving as soon as home is at its limit, a random mark for full, own observations for targets that are not used, a return margin of 0.1.

Found on the way, not changed: latency.mean begins at 0, so the baseline of latency.go begins at a fifth of the first duration and rises by 0.002 a request; a target with requests over about 50 ms counts as slow after the start of a node.

--- a/pkg/router/cost_test.go
+++ b/pkg/router/cost_test.go
@@ -69,3 +69,50 @@
 		})
 	}
 }
+
+// TestPlaceByFinishDoesNotAllocate checks that the choice by the expected time of
+// completion allocates nothing, in a small and in a large fleet, with room and without.
+func TestPlaceByFinishDoesNotAllocate(t *testing.T) {
+	for _, size := range []int{20, 4100} {
+		for _, running := range []int{20, 60} {
+			r, members := newFleet(size)
+			r.PlaceByFinish()
+			for range 1000 {
+				place(r, members, running)
+			}
+			qt.Check(t, testing.AllocsPerRun(1000, func() { place(r, members, running) }), qt.Equals, 0.0, qt.Commentf("%d targets, %d running", size, running))
+		}
+	}
+}
+
+// place chooses by the expected time of completion, and tells how many requests run at
+// the target.
+func place(r *router.Router, members []*control.Entry, running int) {
+	e, _ := r.Place(members, nil)
+	r.RecordWork(e.Instance, router.Work{Running: running, Limit: 50, Time: 10 * time.Millisecond, Spent: 10 * time.Millisecond}, 11*time.Millisecond)
+	r.RecordAnswer(e.Instance, 11*time.Millisecond)
+	r.RecordResult(e.Instance, router.Succeeded, 11*time.Millisecond)
+}
+
+// BenchmarkPlaceByFinish measures a choice by the expected time of completion and
+// the two records without which targets would fill up, where targets have room and where
+// all are full.
+func BenchmarkPlaceByFinish(b *testing.B) {
+	for _, running := range []int{20, 60} {
+		for _, size := range []int{20, 4100} {
+			b.Run(fmt.Sprintf("%d of 50 running/%d", running, size), func(b *testing.B) {
+				r, members := newFleet(size)
+				r.PlaceByFinish()
+				for range 10000 {
+					place(r, members, running)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					e, _ := r.Place(members, nil)
+					r.RecordResult(e.Instance, router.Succeeded, 11*time.Millisecond)
+					r.RecordWork(e.Instance, router.Work{Running: running, Limit: 50, Time: 10 * time.Millisecond}, 0)
+				}
+			})
+		}
+	}
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -95,10 +95,14 @@
 	// waiting requests make up.
 	load         float64
 	loadReported time.Time
-	// work is what the target's node last told, and distance the network latency to
+	// work is what the target's node last reported, and distance the network latency to
 	// its data centre.
 	work     work
 	distance *distance
+	// workBaseline is the usual time in the target as reported, in seconds.
+	workBaseline float64
+	// answeredAt is when the last successful answer ended.
+	answeredAt time.Time
 	// statements holds what the target states about itself.
 	statements pacer.Tracker
 	// leavingLife is the life of the target that states that it leaves, if any.
@@ -125,6 +129,8 @@
 	silences map[string]*silence
 	// distances holds the distances of data centres by name.
 	distances map[string]*distance
+	// byFinish selects the choice by the expected time of completion.
+	byFinish bool
 }
 
 // New returns a router for the node of an instance in a data centre.
@@ -138,6 +144,8 @@
 	// members is the list from which the candidates were selected.
 	members       []*control.Entry
 	local, remote []*control.Entry
+	// finish is the state of the choice by the expected time of completion.
+	finish finishState
 }
 
 // candidates returns the candidates among the members. It selects them anew
@@ -168,31 +176,40 @@
 // centre. The caller must not change the list afterwards, as the router recognizes a
 // new list by its address and length.
 func (r *Router) Choose(members []*control.Entry, tried map[string]bool) *control.Entry {
+	e, _ := r.Place(members, tried)
+	return e
+}
+
+// Place is Choose that also returns what decided.
+func (r *Router) Place(members []*control.Entry, tried map[string]bool) (*control.Entry, Cause) {
 	if len(members) == 0 {
-		return nil
+		return nil, ""
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	c := r.candidates(members)
+	if r.byFinish {
+		return r.placeByFinish(c, tried, now)
+	}
 	for _, excluded := range []map[string]bool{tried, nil} {
 		local := r.pick(c.local, excluded, now)
 		if local != nil && r.load(local, now) < fullLoad && !r.isSlow(local, now) {
-			return r.begin(local, now)
+			return r.begin(local, now), ""
 		}
 		remote := r.pick(c.remote, excluded, now)
 		if local != nil && (remote == nil || !r.replaces(remote, local, now)) {
-			return r.begin(local, now)
+			return r.begin(local, now), ""
 		}
 		if remote != nil {
-			return r.begin(remote, now)
+			return r.begin(remote, now), ""
 		}
 	}
 	// No candidate is usable. Trying any member that stays is better than failing.
 	if e := r.fallback(members, now); e != nil {
-		return r.begin(e, now)
+		return r.begin(e, now), ""
 	}
-	return nil
+	return nil, ""
 }
 
 // begin counts a request in flight to the target and returns the target's entry.
@@ -224,8 +241,9 @@
 // usable reports whether requests may go to the target. After an ejection ends,
 // only one request at a time may go there until one succeeds. To a silent data
 // centre only probes may go, and to a target that leaves nothing.
-func (r *Router) usable(e *control.Entry, now time.Time) bool {
-	s := r.targetStats(e)
+func (r *Router) usable(e *control.Entry, now time.Time) bool { return r.targetStats(e).usable(e, now) }
+
+func (s *targetStats) usable(e *control.Entry, now time.Time) bool {
 	if s.isLeaving(e) || !s.allowedBySilence(now) {
 		return false
 	}
@@ -352,6 +370,7 @@
 func (s *targetStats) recordSuccess(now time.Time, took time.Duration) {
 	s.failures = 0
 	s.latency.recordAnswer(took)
+	s.answeredAt = now
 	if !s.ejectedUntil.IsZero() {
 		s.ejectedUntil, s.ejection, s.warmupStart = time.Time{}, 0, now
 	}
