Setting placement: nodes place by the expected time of completion

With "placement": "finish" the entry node uses the router's choice by the expected time of completion. The request line names what decided (placed=home, full, gain, absent, probe), and the events left_full, left_gain, left_absent and left_probe count the sends that leave the data centre; both cost a constant text.

Requests that a target fails sooner than others end are left out of the mean time that its node reports: a target that fails a part of its requests at once would otherwise look fast and draw more of them (TestFailuresAtOnceAreNotFast).

Without the setting no header is sent, no cause is logged and the choice is as before.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -124,8 +124,14 @@
 	began    time.Time
 	// inflight is the number of requests in flight when this one began.
 	inflight int
+	// failed is set if the target failed the request.
+	failed bool
 }
 
+// MarkFailed records that the target failed the request or did not answer. It precedes
+// Done.
+func (t *Ticket) MarkFailed() { t.failed = true }
+
 // Admit waits for a slot, at most for the queue timeout. It returns an
 // *OverloadError if the request got none, a *PacedError if that was for the limit
 // that the target names, or an error that wraps the context's error if the context was
@@ -351,7 +357,7 @@
 	elapsed := now.Sub(t.began)
 	a.inflight--
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
-	a.workTime.record(now, elapsed)
+	a.workTime.record(now, elapsed, t.failed)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
 	a.limit = updateLimit(a.algorithm, sample{own: max(elapsed-callTime, 0), shed: shed, inflight: t.inflight}, a.slots)
 	a.advanceLevels(now)
--- a/pkg/admitter/work.go
+++ b/pkg/admitter/work.go
@@ -23,8 +23,12 @@
 	lastEnd time.Time
 }
 
-// record adds a request that ended now.
-func (w *workTime) record(now time.Time, took time.Duration) {
+// record adds a request that ended now. One that failed sooner than others end is left
+// out: a target that fails requests at once is not a fast one.
+func (w *workTime) record(now time.Time, took time.Duration, failed bool) {
+	if failed && took <= w.value(now) {
+		return
+	}
 	if w.value(now) == 0 {
 		w.count = 0
 	}
@@ -42,7 +46,7 @@
 	return time.Duration(w.seconds * float64(time.Second))
 }
 
-// Work tells what the target has to do for all nodes together.
+// Work describes what the target has to do for all nodes together.
 type Work struct {
 	Running, Queued int
 	// Limit is the concurrency limit in force now, which is lower during the warm-up.
--- a/pkg/admitter/work_test.go
+++ b/pkg/admitter/work_test.go
@@ -40,3 +40,27 @@
 	a.SetSlots(100, 0)
 	qt.Assert(t, a.Work().Time, qt.Equals, time.Duration(0))
 }
+
+// TestFailuresAtOnceAreNotFast checks that requests that a target fails at once don't
+// make it look fast, which would attract more of them, and that slow failures count.
+func TestFailuresAtOnceAreNotFast(t *testing.T) {
+	clock := &timekeeper.Manual{}
+	a := admitter.New(clock, admitter.Static{})
+	a.SetSlots(100, 0)
+	run := func(took time.Duration, failed bool) {
+		ticket, err := a.Admit(context.Background(), "team", admitter.NewPriority(0, false, 0))
+		qt.Assert(t, err, qt.IsNil)
+		clock.Advance(took)
+		if failed {
+			ticket.MarkFailed()
+		}
+		ticket.Done(0, false)
+	}
+	run(40*time.Millisecond, false)
+	for range 20 {
+		run(time.Millisecond, true)
+	}
+	qt.Assert(t, a.Work().Time, qt.Equals, 40*time.Millisecond)
+	run(time.Second, true)
+	qt.Assert(t, a.Work().Time > 40*time.Millisecond, qt.IsTrue)
+}
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -47,6 +47,7 @@
 	response, err := f.deps.TargetConnector.Do(ctx, x.target.Address, d.request(x, delivery), matches)
 	if err != nil {
 		timer.Stop()
+		x.ticket.MarkFailed()
 		shed = errors.Is(context.Cause(ctx), errDeadlinePassed)
 		d.handleError(x, err, context.Cause(ctx), inFlight)
 		return
@@ -57,6 +58,9 @@
 		f.recordStatement(x, response, inFlight.startedAt)
 	}
 	shed = verdict == Declined || routerResultOf(response.StatusCode) == router.Shed && !inFlight.hadFailedCall()
+	if verdict != Valid || routerResultOf(response.StatusCode) != router.Succeeded {
+		x.ticket.MarkFailed()
+	}
 	timer.Reset(x.timeLeft(d.now()) + x.allowance() + bodyGrace)
 	d.forwardResponse(x, inFlight, response, verdict, cancel, timer)
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -99,8 +99,8 @@
 	// Stopping returns the times of the node's graceful stop, or nil before it begins.
 	// It may be nil.
 	Stopping func() *Stop
-	// TellWork makes this node tell entry nodes what its target has to do.
-	TellWork bool
+	// ReportWork makes this node tell entry nodes what its target has to do.
+	ReportWork bool
 	// CountEvent adds delta to a counter of events; it may be nil.
 	CountEvent func(name string, delta int64)
 	// Observer receives the outcome of each request; it may be nil.
--- a/pkg/forwarder/request_log.go
+++ b/pkg/forwarder/request_log.go
@@ -30,6 +30,9 @@
 	if a.target != nil {
 		attrs = append(attrs, "at", a.target.Instance, "state", a.target.State, "stamp", a.target.Stamp)
 	}
+	if a.cause != "" {
+		attrs = append(attrs, "placed", string(a.cause))
+	}
 	switch r := final.(type) {
 	case *answeredResult:
 		attrs = append(attrs, "outcome", "answered", "status", r.answer.status)
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -157,8 +157,11 @@
 
 // attempt is one attempt to have a target serve the request.
 type attempt struct {
-	filter    *sendFilter
-	target    *control.Entry
+	filter *sendFilter
+	target *control.Entry
+	// cause is what decided the choice of the target, if that is by the expected time
+	// of completion.
+	cause     router.Cause
 	result    result
 	startedAt time.Time
 	cancel    context.CancelFunc
@@ -178,12 +181,15 @@
 		a.result = &notRunResult{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline had passed before the request was sent")}
 		return a
 	}
-	a.target = s.forwarder.deps.Router.Choose(s.forwarder.deps.Targets(x.hop.Service), tried)
+	a.target, a.cause = s.forwarder.deps.Router.Place(s.forwarder.deps.Targets(x.hop.Service), tried)
 	if a.target == nil {
 		a.result = &notRunResult{refusal: refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetRetryDelay, "no target of service %s is known", x.hop.Service)}
 		return a
 	}
 	tried[a.target.Instance] = true
+	if a.cause.Leaves() {
+		s.forwarder.count(leftEvent(a.cause))
+	}
 	a.send(x)
 	return a
 }
--- a/pkg/forwarder/work_header.go
+++ b/pkg/forwarder/work_header.go
@@ -13,7 +13,7 @@
 // this request, and how long this node had the request, so that the entry node can
 // tell the time in the network from it.
 func (f *Forwarder) setWorkHeader(x *Exchange) {
-	if !f.deps.TellWork {
+	if !f.deps.ReportWork {
 		return
 	}
 	w := f.deps.Admitter.Work()
@@ -52,3 +52,17 @@
 		Time: time.Duration(numbers[3]) * time.Microsecond, Spent: time.Duration(numbers[4]) * time.Microsecond,
 	}, true
 }
+
+// leftEvent names the event that a request leaves its data centre for a cause. The
+// names are constants, so that counting builds no text.
+func leftEvent(c router.Cause) string {
+	switch c {
+	case router.CauseFull:
+		return "left_full"
+	case router.CauseGain:
+		return "left_gain"
+	case router.CauseProbe:
+		return "left_probe"
+	}
+	return "left_absent"
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -256,11 +256,15 @@
 		return v.Epoch, v.Replicas
 	}, randomID)
 	s.router = router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom())
+	byFinish := s.settings.Placement == configurer.PlacementFinish
+	if byFinish {
+		s.router.PlaceByFinish()
+	}
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
 		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, CountEvent: s.countEvent, Observer: s.measurer,
 		Router:        s.router,
-		TellWork:      s.settings.Placement == configurer.PlacementFinish,
+		ReportWork:    byFinish,
 		PeerTransport: forwarder.NewPeerTransport(s.sealer.Client()),
 		PeerConnector: s.plainPeerConnector(),
 		PeerScheme:    s.peerScheme(), Dialect: s.iface.Dialect,
