--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -90,6 +90,8 @@
 	costs map[string]float64
 	// serviceSeconds is the mean time in the target over all teams.
 	serviceSeconds float64
+	// workTime is the same for entry nodes.
+	workTime workTime
 }
 
 // New returns an admitter that uses the given algorithm for the limit.
@@ -107,6 +109,7 @@
 	if warmup >= 0 {
 		a.warmupStart, a.warmupTime = a.clock.Now(), warmup
 		a.limit = initialLimit(a.algorithm, slots)
+		a.workTime = workTime{}
 	}
 	a.dispatch()
 }
@@ -146,8 +149,14 @@
 	began    time.Time
 	// inflight is the number of requests in flight when this one began.
 	inflight int
+	// failed is set if the target failed the request.
+	failed bool
 }
 
+// MarkFailed records that the target failed the request or did not answer. It precedes
+// Done.
+func (t *Ticket) MarkFailed() { t.failed = true }
+
 // Admit waits for a slot, at most for the queue timeout. It returns an
 // *OverloadError if the request got none, a *PacedError if that was for the limit
 // that the target names, a *DrainedError if the data centre is drained, or an error that
@@ -377,6 +386,7 @@
 	elapsed := now.Sub(t.began)
 	a.inflight--
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
+	a.workTime.record(now, elapsed, t.failed)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
 	a.limit = updateLimit(a.algorithm, sample{own: max(elapsed-callTime, 0), shed: shed, inflight: t.inflight}, a.slots)
 	a.advanceLevels(now)
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -46,6 +46,7 @@
 		a.forwarder.count("refused_drained")
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDrained, drainedRetryDelay, "%v", drained))
 	default:
+		a.forwarder.setWorkHeader(x)
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
 	}
 }
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -48,6 +48,7 @@
 	response, err := f.deps.TargetConnector.Do(ctx, x.target.Address, d.request(x, delivery), matches)
 	if err != nil {
 		timer.Stop()
+		x.ticket.MarkFailed()
 		shed = errors.Is(context.Cause(ctx), errDeadlinePassed)
 		d.handleError(x, err, context.Cause(ctx), inFlight)
 		return
@@ -58,6 +59,9 @@
 		f.recordStatement(x, response, inFlight.startedAt)
 	}
 	shed = verdict == Declined || routerResultOf(response.StatusCode) == router.Shed && !inFlight.hadFailedCall()
+	if verdict != Valid || routerResultOf(response.StatusCode) != router.Succeeded {
+		x.ticket.MarkFailed()
+	}
 	timer.Reset(x.timeLeft(d.now()) + x.allowance() + bodyGrace)
 	d.forwardResponse(x, inFlight, response, verdict, cancel, timer)
 }
@@ -167,6 +171,8 @@
 	}
 	answer.abort = func() { cancel(context.Canceled) }
 	x.setRetriesHeader()
+	// Reading the answer took time, which the first value does not contain.
+	f.setWorkHeader(x)
 	f.logHopAnswer(x, r.StatusCode)
 	// A buffered answer counts as complete even if the caller has disconnected.
 	if answer.stream == nil {
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -165,8 +165,11 @@
 
 // attempt is one attempt to have a target serve the request.
 type attempt struct {
-	filter    *sendFilter
-	target    *control.Entry
+	filter *sendFilter
+	target *control.Entry
+	// cause is what decided the choice of the target, if that is by the expected time
+	// of completion.
+	cause     router.Cause
 	result    result
 	startedAt time.Time
 	cancel    context.CancelFunc
@@ -186,7 +189,7 @@
 		a.result = &notRunResult{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline had passed before the request was sent")}
 		return a
 	}
-	a.target = s.forwarder.deps.Router.Choose(s.forwarder.deps.Targets(x.hop.Service), tried)
+	a.target, a.cause = s.forwarder.deps.Router.Place(s.forwarder.deps.Targets(x.hop.Service), tried)
 	if a.target == nil {
 		if r := s.forwarder.drainRefusal(x.hop.Service); r != nil {
 			a.result = &notRunResult{refusal: r}
@@ -196,6 +199,9 @@
 		return a
 	}
 	tried[a.target.Instance] = true
+	if a.cause.Leaves() {
+		s.forwarder.count(leftEvent(a.cause))
+	}
 	a.send(x)
 	return a
 }
@@ -241,7 +247,7 @@
 	// The target's node itself bounds the time for a short answer's body; this
 	// timer covers a node that stops responding.
 	a.timer.Reset(x.timeLeft(a.filter.now()) + x.allowance() + 2*bodyGrace)
-	a.handleResponse(x, response, delegated)
+	a.handleResponse(x, response, delegated, took)
 	if !x.hasCallerTimeout {
 		a.timer.Stop()
 	}
@@ -333,9 +339,9 @@
 }
 
 // handleResponse handles the response of the target's node: a refusal or the
-// target's answer. It also reads the unused retries, the admission level and the
-// load from the headers.
-func (a *attempt) handleResponse(x *Exchange, r *http.Response, delegated uint32) {
+// target's answer. It also reads the unused retries, the admission level, the load
+// and the work from the headers. took is the time until the response began.
+func (a *attempt) handleResponse(x *Exchange, r *http.Response, delegated uint32, took time.Duration) {
 	f := a.filter.forwarder
 	if f.deps.CountBytes != nil {
 		f.deps.CountBytes(a.target.Centre, max(x.request.ContentLength, 0)+max(r.ContentLength, 0))
@@ -353,6 +359,9 @@
 	if load, err := strconv.Atoi(r.Header.Get(headerLoad)); err == nil {
 		f.deps.Router.RecordLoad(a.target.Instance, float64(load)/100)
 	}
+	if work, ok := readWork(r.Header.Get(headerWork)); ok {
+		f.deps.Router.RecordWork(a.target.Instance, work, took)
+	}
 	a.recordPeerStatement(x, r.Header)
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
