Queue: calls of requests that have begun come first, on request

What callers saw: a request whose calls had partly run ended in a 500, as one of its later calls was rejected in favour of a request of a higher rank that had not begun. The work already done was lost.

Cause: the class of a waiter orders by rank first, then by whether upstream services have spent work.

The entry nodes, which decide before any work is spent, keep the ranks right.

Ruled out: another layout of the bits of a priority. Levels are compared as priorities between nodes of both versions, so the layout stays and only the class of the queue differs.

--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -29,13 +29,28 @@
 type queue struct {
 	classes [classCount][]*teamQueue
 	size    int
+	// downstreamFirst orders calls of requests that have begun before all others,
+	// whatever their rank: rejecting one wastes the work already spent. By default the
+	// rank comes first.
+	downstreamFirst bool
+}
+
+// class returns the class of a waiter.
+func (q *queue) class(p Priority) int {
+	if !q.downstreamFirst {
+		return p.class()
+	}
+	if p&downstreamBit != 0 {
+		return 1<<rankBits + int(p.rank())
+	}
+	return int(p.rank())
 }
 
 // minQuantum is the minimum target time in seconds that a team gets in a round.
 const minQuantum = 0.0001
 
 func (q *queue) push(w *waiter) {
-	class := w.priority.class()
+	class := q.class(w.priority)
 	q.size++
 	for _, t := range q.classes[class] {
 		if t.team == w.team {
@@ -82,7 +97,7 @@
 
 // remove removes a waiter and reports whether it was still in the queue.
 func (q *queue) remove(w *waiter) bool {
-	for _, t := range q.classes[w.priority.class()] {
+	for _, t := range q.classes[q.class(w.priority)] {
 		for i, other := range t.waiters {
 			if other == w {
 				t.waiters = append(t.waiters[:i:i], t.waiters[i+1:]...)
