Level from the measured demand in slot time

What callers saw: in a burst of 3 s the level reached its value when the burst was over; requests were begun that a deep service then rejected.

Cause: the level moves by 0.03 of one rank in 100 ms, and counts requests, not the slot time that they use.

Change: with Admitter.UseDemand (no caller yet) the level is set from the demand: per rank, arrivals x mean slot time in windows of 100 ms, smoothed with 150 ms and longer while few requests stand for many. A request counts with a weight, the inverse of the share that its entry node let pass, so the sum is the demand without shedding whatever the delay of the chain, and there is no loop whose gain would have to fit the delay. The level leaves 0.95 of the limit above it, counts the floor that entry nodes keep for lower ranks, is raised after two windows over 1.02 of the limit and returns to 0 below 0.98. A request that another node of the service has rejected before has weight 0; one whose weight is unknown counts as the mean of the others.

Ruled out: correcting by the level that was advertised some time ago. The delay is 0.2 s for one call and 1.5 s for a chain of eight at the same moment, so that no single past level belongs to the arrivals of a window.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -72,6 +72,8 @@
 	inflight   int
 	queue      queue
 	level      level
+	// demand replaces level if it is set, see UseDemand.
+	demand *demand
 	// pacer keeps the limit that the target names; pacedLevel is the admission level
 	// that follows from it.
 	pacer      pacer.Pacer
@@ -89,6 +91,15 @@
 	return &Admitter{clock: clock, algorithm: algorithm, costs: map[string]float64{}}
 }
 
+// UseDemand makes the level follow the measured demand, and calls of requests that have
+// begun come before all others. It must be called before the first request.
+func (a *Admitter) UseDemand() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.demand = &demand{}
+	a.queue.downstreamFirst = true
+}
+
 // SetSlots sets the number of slots of the target. warmup is how long a target
 // that just started is slow; it is negative if the target has not just started.
 func (a *Admitter) SetSlots(slots int, warmup time.Duration) {
@@ -118,6 +129,7 @@
 type Ticket struct {
 	admitter *Admitter
 	team     string
+	priority Priority
 	began    time.Time
 	// inflight is the number of requests in flight when this one began.
 	inflight int
@@ -128,12 +140,22 @@
 // that the target names, or an error that wraps the context's error if the context was
 // done first.
 func (a *Admitter) Admit(ctx context.Context, team string, p Priority) (*Ticket, error) {
+	return a.AdmitWeighted(ctx, team, p, 1)
+}
+
+// AdmitWeighted is Admit for a request that stands for weight requests, all but one of
+// which the entry nodes rejected. weight is 0 for a request that another node of the
+// service has already rejected, or UnknownWeight.
+func (a *Admitter) AdmitWeighted(ctx context.Context, team string, p Priority, weight float64) (*Ticket, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
 	a.recordArrival(p, now)
+	if a.demand != nil {
+		a.demand.recordArrival(p, weight)
+	}
 	a.rejectExpired(now)
 	if a.hasRoom(now) && a.queue.size == 0 {
-		t := a.acquire(team, now)
+		t := a.acquire(team, p, now)
 		a.level.recordWait(0)
 		a.pacedLevel.recordWait(0)
 		a.mu.Unlock()
@@ -158,6 +180,9 @@
 
 func (a *Admitter) advanceLevels(now time.Time) {
 	a.level.advance(now, a.serviceTime())
+	if a.demand != nil {
+		a.demand.advance(now, a.currentLimit(now), a.serviceTime())
+	}
 	a.pacedLevel.advance(now, a.serviceTime())
 }
 
@@ -230,14 +255,14 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &Ticket{admitter: a, team: w.team, began: a.clock.Now(), inflight: a.inflight}, nil
+	return &Ticket{admitter: a, team: w.team, priority: w.priority, began: a.clock.Now(), inflight: a.inflight}, nil
 }
 
 // acquire takes a free slot.
-func (a *Admitter) acquire(team string, now time.Time) *Ticket {
+func (a *Admitter) acquire(team string, p Priority, now time.Time) *Ticket {
 	a.inflight++
 	a.pacer.Begin(now)
-	return &Ticket{admitter: a, team: team, began: now, inflight: a.inflight}
+	return &Ticket{admitter: a, team: team, priority: p, began: now, inflight: a.inflight}
 }
 
 // dispatch gives free slots to waiters.
@@ -347,6 +372,9 @@
 	now := a.clock.Now()
 	elapsed := now.Sub(t.began)
 	a.inflight--
+	if a.demand != nil {
+		a.demand.recordEnd(t.priority, elapsed)
+	}
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
 	a.limit = updateLimit(a.algorithm, sample{own: max(elapsed-callTime, 0), shed: shed, inflight: t.inflight}, a.slots)
@@ -359,15 +387,42 @@
 func (a *Admitter) Level() Priority {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.level.advance(a.clock.Now(), a.serviceTime())
+	now := a.clock.Now()
+	a.level.advance(now, a.serviceTime())
+	if a.demand != nil {
+		a.demand.advance(now, a.currentLimit(now), a.serviceTime())
+	}
+	return a.threshold()
+}
+
+// threshold returns the level that is in use. The caller holds the lock.
+func (a *Admitter) threshold() Priority {
+	if a.demand != nil {
+		return a.demand.level
+	}
 	return a.level.threshold()
 }
 
+// Cost returns the time for which the request has held its slot, or 0 while the slots
+// of the target are not scarce.
+func (t *Ticket) Cost() time.Duration {
+	a := t.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.demand == nil || !a.demand.scarce() {
+		return 0
+	}
+	return a.clock.Now().Sub(t.began)
+}
+
 // Load is a snapshot of the admitter, for metrics and for the load reported to
 // other nodes.
 type Load struct {
 	Slots, Limit, Inflight, Queued int
 	Level                          Priority
+	// Demand is the demand in slots, with what the entry nodes hold back; 0 unless the
+	// level follows it.
+	Demand float64
 	// Paced is the part of the limit named by the target that is in use, from 0 to 1,
 	// and PacedLevel the admission level that follows from that limit.
 	Paced      float64
@@ -378,8 +433,12 @@
 func (a *Admitter) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Load{
-		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.threshold(),
+	load := Load{
+		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.threshold(),
 		Paced: a.pacer.Utilization(a.clock.Now()), PacedLevel: a.pacedLevel.threshold(),
 	}
+	if a.demand != nil {
+		load.Demand = a.demand.total
+	}
+	return load
 }
--- a/pkg/admitter/doc.go
+++ b/pkg/admitter/doc.go
@@ -11,5 +11,6 @@
 //
 // An admission level, which the node reports to upstream nodes, says which
 // requests the admitter would reject, so that the entry node rejects them before
-// any work is spent on them.
+// any work is spent on them. By default it moves in steps while requests wait or are
+// rejected; with UseDemand it is set from the slot time that the offered requests need.
 package admitter
