Shedding: a budget of slot time for the requests that come now

Cause: calls of requests that began a second ago still report the demand of that time; the outcomes of 2 s of a busy route weigh as much as 100 failures.

Change: the levels, times the arrivals of the last second and their cost, are a budget of slot time, which is divided among the arrivals of the last 0.2 s by rank, then by success per cost, with the floors that the level has left room for. So a burst and its end take effect before an answer tells of them. The count of outcomes by which a route is judged is bounded by 16. The mean cost counts only while the route's answers carry costs, so that it is right at the beginning of an overload.

Ruled out: letting a hopeless route pass once the others succeed again.

The test of the floor runs 3 s before it measures (it measured from the first request on): arrivals of the last second are known only after that second. The bounds are the same.

--- a/pkg/shedder/chains.go
+++ b/pkg/shedder/chains.go
@@ -36,12 +36,20 @@
 	quietTime = 2 * time.Second
 	// idleTime is the time without a request after which a route is forgotten.
 	idleTime = 30 * time.Second
-	// arrivalTime, outcomeTime and costTime are the time constants of the counts of
-	// arrivals, of recent outcomes, and of the costs and successes by which routes are
-	// compared. The last is long, since a route that is held back has few outcomes.
-	arrivalTime = time.Second
+	// arrivalTime is the time constant of the arrivals to which a level relates: about
+	// as old as the requests from which the level was computed, which went through a
+	// chain of calls. newestTime is that of the newest arrivals, longer where fewer than
+	// newestArrivals come in it.
+	arrivalTime    = time.Second
+	newestTime     = 200 * time.Millisecond
+	newestArrivals = 20
+	// outcomeTime is the time constant of the count of recent outcomes, and maxOutcomes
+	// bounds that count: a route with many requests a second is judged by the newest.
 	outcomeTime = 2 * time.Second
-	costTime    = 5 * time.Second
+	maxOutcomes = 16
+	// costTime is the time constant of the costs and successes by which routes are
+	// compared; long, since a route that is held back has few outcomes.
+	costTime = 5 * time.Second
 	// hopelessSuccess is the share of successes below which a route is refused whose
 	// calls fail; minOutcomes is the number of recent outcomes from which it is judged.
 	// A route with a true share of 0.45 fails 8 times in a row in 1 of 120 cases.
@@ -104,7 +112,7 @@
 	// levels are the latest levels of each rank, over the routes that use overloaded
 	// services.
 	levels [rankCount]level
-	// plan is the scratch list of plan.
+	// plan is the scratch list of computeShares.
 	plan                           []*class
 	plannedAt, troubleAt, prunedAt time.Time
 }
@@ -115,24 +123,32 @@
 type route struct {
 	// outcomes, successes and callFailures count recent outcomes, with decay.
 	outcomes, successes, callFailures float64
-	// costOutcomes, costSuccesses and costSeconds are the same over a longer time.
+	// costOutcomes, costSuccesses and costSeconds count the outcomes of the times in
+	// which the route used overloaded services. costAt is when it last did.
 	costOutcomes, costSuccesses, costSeconds float64
-	countedAt                                time.Time
+	countedAt, costAt                        time.Time
 	// outcomeAt is when the last outcome came, probedAt when a request last passed as
 	// a probe, arrivedAt when the last request came.
 	outcomeAt, probedAt, arrivedAt time.Time
 	hopeless                       bool
+	// affected is set while a class of the route is to be held back.
+	affected bool
 }
 
 // class holds the requests of one rank of a route.
 type class struct {
-	route     *route
-	rank      uint32
-	arrivals  float64
-	arrivedAt time.Time
-	level     level
+	route *route
+	rank  uint32
+	// arrivals and newest are the rates of arrivals, in requests a second, over
+	// arrivalTime and over newestTime.
+	arrivals, newest float64
+	arrivedAt        time.Time
+	level            level
 	// held is the part that the level asks to hold back, passing the part that passes.
 	held, passing float64
+	// usual and demand are the slot time that its recent and its newest arrivals ask
+	// for, per second, and value the successes per second of cost.
+	usual, demand, value float64
 }
 
 // level is a moving average of the part of the requests that a service asks to hold
@@ -157,22 +173,39 @@
 	return l.held * min(1, max(0, 1-float64(age)/float64(informationTime-holdTime)))
 }
 
+// countArrival counts a request in both rates.
+func (cl *class) countArrival(now time.Time) {
+	age, short := now.Sub(cl.arrivedAt), cl.newestTime()
+	cl.arrivals = cl.arrivals*decay(age, arrivalTime) + 1/arrivalTime.Seconds()
+	cl.newest = cl.newest*decay(age, short) + 1/short.Seconds()
+	cl.arrivedAt, cl.route.arrivedAt = now, now
+}
+
+// newestTime returns the time constant of the newest arrivals.
+func (cl *class) newestTime() time.Duration {
+	if cl.arrivals <= newestArrivals/arrivalTime.Seconds() {
+		return arrivalTime
+	}
+	return max(newestTime, time.Duration(newestArrivals/cl.arrivals*float64(time.Second)))
+}
+
 // Decide counts a request and returns what to do with requests like it.
 func (c *Chains) Decide(key Key, now time.Time) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cl := c.class(key)
-	cl.arrivals = cl.arrivals*decay(now.Sub(cl.arrivedAt), arrivalTime) + 1
-	cl.arrivedAt, cl.route.arrivedAt = now, now
-	if now.Sub(c.troubleAt) > quietTime {
-		return Decision{Share: 1}
-	}
-	if now.Sub(c.plannedAt) >= planInterval {
+	quiet := now.Sub(c.troubleAt) > quietTime
+	if !quiet && now.Sub(c.plannedAt) >= planInterval {
+		// Before this request is counted: just after an arrival a rate is above its mean.
 		c.plannedAt = now
 		c.computeShares(now)
 	}
+	cl.countArrival(now)
+	if quiet {
+		return Decision{Share: 1}
+	}
 	r := cl.route
-	d := Decision{Share: cl.passing, Cost: r.cost(), Success: r.success()}
+	d := Decision{Share: cl.passing, Cost: r.cost(now), Success: r.success()}
 	switch {
 	case r.hopeless:
 		d.Share, d.Cause = ProbeShare, Hopeless
@@ -201,7 +234,7 @@
 	if held > 0 {
 		c.troubleAt = now
 	}
-	if held > 0 || cl.route.cost() > 0 {
+	if held > 0 || cl.route.cost(now) > 0 {
 		c.levels[min(key.Rank, rankCount-1)].record(held, now)
 	}
 }
@@ -262,22 +295,36 @@
 
 // count adds an outcome.
 func (r *route) count(o Outcome, now time.Time) {
-	recent, long := decay(now.Sub(r.countedAt), outcomeTime), decay(now.Sub(r.countedAt), costTime)
-	r.countedAt, r.outcomeAt = now, now
+	recent := min(decay(now.Sub(r.countedAt), outcomeTime), 1-1.0/maxOutcomes)
 	r.outcomes, r.successes, r.callFailures = r.outcomes*recent+1, r.successes*recent, r.callFailures*recent
-	r.costOutcomes, r.costSuccesses, r.costSeconds = r.costOutcomes*long+1, r.costSuccesses*long, r.costSeconds*long
-	r.costSeconds += o.Cost.Seconds()
 	if o.Succeeded {
 		r.successes++
-		r.costSuccesses++
 	} else if o.CallFailed {
 		r.callFailures++
 	}
+	r.countCost(o, now)
+	r.countedAt, r.outcomeAt = now, now
+}
+
+// countCost adds an outcome to those by which routes are compared. Those without a cost
+// count only while others of the route have one: before, no service was overloaded.
+func (r *route) countCost(o Outcome, now time.Time) {
+	if o.Cost > 0 {
+		r.costAt = now
+	}
+	if now.Sub(r.costAt) > informationTime {
+		return
+	}
+	long := decay(now.Sub(r.countedAt), costTime)
+	r.costOutcomes, r.costSuccesses, r.costSeconds = r.costOutcomes*long+1, r.costSuccesses*long, r.costSeconds*long+o.Cost.Seconds()
+	if o.Succeeded {
+		r.costSuccesses++
+	}
 }
 
-// cost returns the mean cost of a request, 0 if it is not known.
-func (r *route) cost() time.Duration {
-	if r.costOutcomes < 0.01 {
+// cost returns the mean cost of a request, 0 if it uses no overloaded service.
+func (r *route) cost(now time.Time) time.Duration {
+	if now.Sub(r.costAt) > costTime || r.costOutcomes < 0.01 {
 		return 0
 	}
 	return time.Duration(r.costSeconds / r.costOutcomes * float64(time.Second))
--- a/pkg/shedder/chains_test.go
+++ b/pkg/shedder/chains_test.go
@@ -81,7 +81,8 @@
 func TestEachRouteKeepsAFloor(t *testing.T) {
 	e := newEntry()
 	high, low := costly("high", 11, 0.2, 100*time.Millisecond), costly("low", 3, 1, 100*time.Millisecond)
-	e.run(4*time.Second, true, high, low)
+	e.run(3*time.Second, true, high, low)
+	e.run(3*time.Second, true, high, low)
 	// The mean share is 0.4, the floor 0.1.
 	qt.Check(t, e.share("low") > 0.09 && e.share("low") < 0.2, qt.IsTrue, qt.Commentf("%v of %v", e.passed, e.total))
 	qt.Check(t, e.share("high") > 0.78, qt.IsTrue, qt.Commentf("%v of %v", e.passed, e.total))
--- a/pkg/shedder/shares.go
+++ b/pkg/shedder/shares.go
@@ -6,85 +6,98 @@
 	"time"
 )
 
-// computeShares computes which part of each class passes.
+// computeShares computes which part of each class passes. The levels say which part of
+// the requests that came until recently may pass; times their cost, that is the slot
+// time that may be used. It is divided among the requests that come now, so that a burst
+// and its end take effect before an answer tells of them. Higher ranks come first, and
+// within a rank the routes with the most success per cost. All keep a floor.
 func (c *Chains) computeShares(now time.Time) {
 	c.prune(now)
 	c.judge(now)
-	c.plan = c.plan[:0]
-	var demand, admitted float64
+	for _, r := range c.routes {
+		r.affected = false
+	}
 	for _, cl := range c.classes {
 		cl.held = c.heldPart(cl, now)
 		cl.passing = 1 - cl.held
-		if w := cl.weight(now); w > 0 && !cl.route.hopeless {
-			demand += w
-			admitted += w * cl.passing
-			if cl.held > 0 {
-				c.plan = append(c.plan, cl)
-			}
+		cl.route.affected = cl.route.affected || cl.held > 0
+	}
+	c.plan = c.plan[:0]
+	var budget, usual, demand float64
+	for _, cl := range c.classes {
+		if !cl.route.affected || cl.route.hopeless || !cl.weigh(now) {
+			continue
 		}
+		c.plan = append(c.plan, cl)
+		budget += cl.usual * (1 - cl.held)
+		usual += cl.usual
+		demand += cl.demand
 	}
 	floor := ProbeShare
 	if demand > 0 {
-		floor = max(floor, FloorFraction*admitted/demand)
-	}
-	slices.SortFunc(c.plan, func(a, b *class) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.value(), b.value()))
-	})
-	for first := 0; first < len(c.plan); {
-		end := first
-		for end < len(c.plan) && c.plan[end].rank == c.plan[first].rank {
-			end++
-		}
-		holdLeastValue(c.plan[first:end], floor, now)
-		first = end
+		floor = max(floor, FloorFraction*min(1, budget/demand))
+		budget += c.floors(FloorFraction * budget / usual)
 	}
+	c.divide(budget, demand, floor)
 	for _, cl := range c.classes {
 		cl.passing = max(cl.passing, floor)
 	}
 }
 
+// floors returns the slot time of the floors of the classes below them, which the levels
+// leave room for beside what they let pass.
+func (c *Chains) floors(floor float64) float64 {
+	sum := 0.0
+	for _, cl := range c.plan {
+		sum += cl.usual * max(0, floor-(1-cl.held))
+	}
+	return sum
+}
+
 // heldPart returns the part of a class that the services ask to hold back. A class
 // without recent answers that is known to use overloaded services follows the others
 // of its rank.
 func (c *Chains) heldPart(cl *class, now time.Time) float64 {
-	if pooled := &c.levels[cl.rank]; !cl.level.fresh(now) && pooled.fresh(now) && cl.route.cost() > 0 {
+	if pooled := &c.levels[cl.rank]; !cl.level.fresh(now) && pooled.fresh(now) && cl.route.cost(now) > 0 {
 		return pooled.current(now)
 	}
 	return cl.level.current(now)
 }
 
-// holdLeastValue divides what one rank must hold back in cost: the routes with the
-// least success per cost are held back first, down to the floor. Routes of similar
-// value share equally.
-func holdLeastValue(classes []*class, floor float64, now time.Time) {
-	total := 0.0
-	for _, cl := range classes {
-		total += cl.weight(now) * cl.held
+// weigh computes the slot time that a class asks for, and reports whether there is any.
+func (cl *class) weigh(now time.Time) bool {
+	cost, age := cl.route.cost(now).Seconds(), now.Sub(cl.arrivedAt)
+	cl.usual = cl.arrivals * decay(age, arrivalTime) * cost
+	cl.demand = cl.newest * decay(age, cl.newestTime()) * cost
+	if cl.demand <= 0 {
+		return false
 	}
-	for first := 0; first < len(classes); {
-		end, demand := first, 0.0
-		for end < len(classes) && classes[end].value() <= similarValue*classes[first].value() {
-			demand += classes[end].weight(now)
+	cl.value = cl.route.success() / cost
+	return true
+}
+
+// divide divides a budget of slot time among the classes of the plan, which ask for
+// demand in all. Routes of one rank with similar value share equally.
+func (c *Chains) divide(budget, demand, floor float64) {
+	slices.SortFunc(c.plan, func(a, b *class) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.value, a.value))
+	})
+	for first := 0; first < len(c.plan); {
+		end, group := first, 0.0
+		for end < len(c.plan) && c.plan[end].rank == c.plan[first].rank && c.plan[end].value*similarValue >= c.plan[first].value {
+			group += c.plan[end].demand
 			end++
 		}
-		held := min(total, demand*(1-floor))
-		for _, cl := range classes[first:end] {
-			cl.passing = 1 - held/demand
+		demand -= group
+		passing := min(1, max(floor, (budget-floor*demand)/group))
+		budget -= passing * group
+		for _, cl := range c.plan[first:end] {
+			cl.passing = passing
 		}
-		total -= held
 		first = end
 	}
 }
 
-// weight returns the demand of a class in seconds of cost.
-func (cl *class) weight(now time.Time) float64 {
-	return cl.arrivals * decay(now.Sub(cl.arrivedAt), arrivalTime) * cl.route.cost().Seconds()
-}
-
-// value returns the successes per second of cost. It is called for classes with a cost
-// only.
-func (cl *class) value() float64 { return cl.route.success() / cl.route.cost().Seconds() }
-
 // judge finds the hopeless routes: those of which hardly any begun request succeeds
 // because their calls fail, while another route that meets failures or overloaded
 // services does better. If none does, the whole service fails, and refusing would
@@ -92,7 +105,7 @@
 func (c *Chains) judge(now time.Time) {
 	best := 0.0
 	for _, r := range c.routes {
-		if r.judged(now) && (r.outcomes > r.successes || r.costSeconds > 0) {
+		if r.judged(now) && (r.outcomes > r.successes || r.cost(now) > 0) {
 			best = max(best, r.successes/r.outcomes)
 		}
 	}
