Setting "shedding": "chains": success per cost decides at the entry

Change: with the setting, the level follows the demand, calls of begun requests come first at a scarce target, and shedder.Chains decides on root requests. Hops carry Primrose-Weight, for how many requests one stands; answers carry Primrose-Cost, the slot time used at overloaded services and whether a call failed, which is added up at the parent by the inference that levels use. The level of a request is the mean per called service instead of the highest of all answers. Retry-After of a refusal follows from the passing share (0.2 to 2 s with jitter) instead of the constant 0.5 s. Refuse lines name cause, share, cost and success; primrose_demand, primrose_passing_share and the counter refused_hopeless are new.

--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -58,6 +58,11 @@
 	// aimd, gradient or static.
 	Rule string `json:"rule"`
 
+	// Shedding selects how requests are held back while a service that they reach
+	// through calls is overloaded: chains, by the measured demand and by what a
+	// request of each route costs and yields, or empty, by the level of pressure.
+	Shedding string `json:"shedding"`
+
 	// Interface selects a translation for callers, targets and operators; empty
 	// for the daemon's own protocol.
 	Interface string `json:"interface"`
@@ -152,6 +157,9 @@
 	RuleStatic   = "static"
 )
 
+// SheddingChains is a value of Settings.Shedding.
+const SheddingChains = "chains"
+
 // The values that Default uses.
 const (
 	defaultListen      = "127.0.0.1:7400"
@@ -284,6 +292,9 @@
 	if !slices.Contains([]string{RuleAIMD, RuleGradient, RuleStatic}, s.Rule) {
 		return d.Problem("rule", "is %q; aimd, gradient or static would be right", s.Rule)
 	}
+	if s.Shedding != "" && s.Shedding != SheddingChains {
+		return d.Problem("shedding", "is %q; %s, or empty, would be right", s.Shedding, SheddingChains)
+	}
 	if len(s.Seeds) == 0 && !slices.Contains(s.Replicas, s.Peer) {
 		return d.Problem("seeds", "is empty and peer is not among the replicas; name at least one peer address to join by")
 	}
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithDeadline(x.Context(), x.deadline)
 	defer cancel()
 	a.forwarder.applyTargetLimit(target.Life)
-	ticket, err := deps.Admitter.Admit(ctx, x.hop.Team, priorityOf(x))
+	ticket, err := deps.Admitter.AdmitWeighted(ctx, x.hop.Team, priorityOf(x), x.admissionWeight())
 	var overload *admitter.OverloadError
 	var paced *admitter.PacedError
 	switch {
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -28,7 +28,7 @@
 	f := d.forwarder
 	ctx, cancel := context.WithCancelCause(d.context(x))
 	defer cancel(context.Canceled)
-	inFlight := &InFlightRequest{ctx: ctx, id: f.newID(), hop: x.hop, budget: x.budget, deadline: x.deadline, startedAt: d.now(), life: x.target.Life}
+	inFlight := &InFlightRequest{ctx: ctx, id: f.newID(), hop: x.hop, budget: x.budget, deadline: x.deadline, startedAt: d.now(), life: x.target.Life, weight: x.weight}
 	f.inFlightTable.add(inFlight)
 	shed := false
 	defer func() {
@@ -114,6 +114,7 @@
 	f := d.forwarder
 	x.cause = err
 	f.setStateHeaders(x, inFlight.callLevel())
+	f.setCostHeader(x, inFlight)
 	var connectorErr *connector.Error
 	sent := !errors.As(err, &connectorErr) || connectorErr.Sent
 	switch {
@@ -142,6 +143,7 @@
 	f := d.forwarder
 	removePrefixedHeaders(r.Header)
 	f.setStateHeaders(x, inFlight.callLevel())
+	f.setCostHeader(x, inFlight)
 	switch verdict {
 	case Declined, Misdirected:
 		inFlight.deliveryEnd = endAnswered
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/primrosewall/primrosewall/pkg/declarer"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/retrier"
+	"github.com/primrosewall/primrosewall/pkg/shedder"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
 
@@ -77,6 +78,16 @@
 	// for a reason other than "declined"; attemptsSent counts the attempts that
 	// were sent to a target's node.
 	rejections, attemptsSent int
+	// weight is for how many requests this one stands, as the entry node held back the
+	// others; see admitter.AdmitWeighted.
+	weight float64
+	// counted is set on the target's node if another node has rejected the request and
+	// counted it as demand.
+	counted bool
+	// decision is what the shed filter decided; unset unless Deps.Chains is set.
+	decision shedder.Decision
+	// chainCost is what the answers to a root request told.
+	chainCost chainCost
 	// dialect writes refusals to callers; unused on the target's node.
 	dialect Dialect
 	// cause is the error because of which there is no answer of the target.
--- a/pkg/forwarder/fair_shares.go
+++ b/pkg/forwarder/fair_shares.go
@@ -23,6 +23,8 @@
 type teamArrivals struct {
 	teams     map[string]float64
 	updatedAt time.Time
+	// counts is the scratch list of waterLevel.
+	counts []float64
 }
 
 // recordArrival counts a request of a team. It returns the fraction of the team's
@@ -67,12 +69,13 @@
 // waterLevel returns the count w for which the teams' counts, each limited to w, add
 // up to passFraction of all arrivals (water-filling).
 func (a *teamArrivals) waterLevel(passFraction float64) float64 {
-	counts := make([]float64, 0, len(a.teams))
+	counts := a.counts[:0]
 	remaining := 0.0
 	for _, count := range a.teams {
 		counts = append(counts, count)
 		remaining += count * passFraction
 	}
+	a.counts = counts
 	sort.Float64s(counts)
 	for i, count := range counts {
 		level := remaining / float64(len(counts)-i)
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
 	"github.com/primrosewall/primrosewall/pkg/retrier"
 	"github.com/primrosewall/primrosewall/pkg/router"
+	"github.com/primrosewall/primrosewall/pkg/shedder"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/pkg/withdrawer"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -51,6 +52,9 @@
 	Claimer    *deduplicator.Claimer
 	Router     *router.Router
 	Admitter   *admitter.Admitter
+	// Chains decides which root requests to hold back by their success per cost; nil to
+	// hold them back by the level alone.
+	Chains *shedder.Chains
 	// Dialect is the set of HTTP conventions of callers and targets.
 	Dialect Dialect
 	// PeerTransport sends requests to other nodes, with the URL scheme PeerScheme.
@@ -186,10 +190,11 @@
 	}
 	faulter.Reach(faulter.HopReceived)
 	f.adoptLimit(hop, r.Header)
+	weight, counted := readWeight(r.Header)
 	removePrefixedHeaders(r.Header)
 	now := f.deps.Clock.Now()
 	x := &Exchange{
-		writer: w, request: r, config: f.deps.Config.Current(), startedAt: now, hop: hop, atTargetNode: true, onRefusal: f.logHopRefusal,
+		writer: w, request: r, config: f.deps.Config.Current(), startedAt: now, hop: hop, weight: weight, counted: counted, atTargetNode: true, onRefusal: f.logHopRefusal,
 		budget: retrier.NewBudget(hop.Retries), deadline: now.Add(time.Duration(hop.Timeout) * time.Microsecond),
 	}
 	if hasLongBody(r) {
--- a/pkg/forwarder/in_flight.go
+++ b/pkg/forwarder/in_flight.go
@@ -35,6 +35,42 @@
 	level admitter.Priority
 	// failedCall is set once a call failed; see markFailedCall.
 	failedCall bool
+	// calls is what the answers to its calls told; weight is for how many requests it
+	// stands.
+	calls  chainCost
+	weight float64
+	// callees are the levels that the called services returned; unused without Chains.
+	callees []calleeLevel
+}
+
+// calleeLevel is the level that a called service returned, as a moving average.
+type calleeLevel struct {
+	service string
+	level   float64
+}
+
+// calleeWeight is the weight of the newest level in that average. Each call goes to
+// another target of the service, and the highest of their levels would be above the
+// one that the service needs.
+const calleeWeight = 0.5
+
+// raiseCalleeLevel sets the level to the highest of the called services.
+func (r *InFlightRequest) raiseCalleeLevel(service string, level admitter.Priority) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	index := slices.IndexFunc(r.callees, func(c calleeLevel) bool { return c.service == service })
+	if index < 0 {
+		if level == 0 {
+			return
+		}
+		r.callees = append(r.callees, calleeLevel{service, float64(level)})
+	} else {
+		r.callees[index].level += calleeWeight * (float64(level) - r.callees[index].level)
+	}
+	r.level = 0
+	for _, c := range r.callees {
+		r.level = max(r.level, admitter.Priority(c.level))
+	}
 }
 
 // beginCall records that the target waits for a call.
@@ -89,6 +125,18 @@
 	return r.level
 }
 
+func (r *InFlightRequest) addChainCost(c chainCost) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls.add(c)
+}
+
+func (r *InFlightRequest) chainCost() chainCost {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
+}
+
 // inFlightTable holds the requests that this node's target is running, and those
 // that recently ended without an answer.
 type inFlightTable struct {
@@ -210,6 +258,25 @@
 	}
 }
 
+// addChainCost divides what the answer to a call without a known parent told among the
+// requests in flight whose route makes calls to the call's route.
+func (t *inFlightTable) addChainCost(route string, c chainCost) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := 0
+	for _, r := range t.byID {
+		if t.callGraph.makesCalls(r.hop.Arrival, route) {
+			candidates++
+		}
+	}
+	c.cost /= time.Duration(max(candidates, 1))
+	for _, r := range t.byID {
+		if t.callGraph.makesCalls(r.hop.Arrival, route) {
+			r.addChainCost(c)
+		}
+	}
+}
+
 func (t *inFlightTable) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -39,14 +39,17 @@
 	// the same idempotency key.
 	HeaderReplay = "Primrose-Replay"
 
-	// headerHop, headerRetries, headerLevel, headerLoad and headerLife are used only
-	// between nodes. headerLife says which life of the target HeaderLimit and
-	// HeaderLeaving are about.
+	// The following are used only between nodes. headerLife says which life of the
+	// target HeaderLimit and HeaderLeaving are about, headerCost what a request used of
+	// overloaded services, in microseconds, and headerWeight for how many requests one
+	// stands.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
 	headerLoad    = "Primrose-Load"
 	headerLife    = "Primrose-Life"
+	headerCost    = "Primrose-Cost"
+	headerWeight  = "Primrose-Weight"
 
 	// headerTeam names the team of a request to the target.
 	headerTeam = "Primrose-Team"
--- a/pkg/forwarder/request_log.go
+++ b/pkg/forwarder/request_log.go
@@ -4,6 +4,8 @@
 	"encoding/hex"
 	"strconv"
 	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/shedder"
 )
 
 // logRefusal logs a request that the entry node rejected before it chose a
@@ -16,9 +18,19 @@
 		"reason", r.Reason, "outcome", r.Outcome, "status", r.Status, "wait", r.Wait,
 		"version", x.config.Version(), "revision", x.config.Revision(), "heard", advertised, "behind", age, "text", r.Text,
 	}
+	attrs = append(attrs, decisionAttrs(x, r)...)
 	f.deps.Log.Info("refuse", append(attrs, digestAttrs(x, r)...)...)
 }
 
+// decisionAttrs says why Chains held a request back.
+func decisionAttrs(x *Exchange, r *Refusal) []any {
+	if r.Reason != ReasonLoad || x.decision.Cause == shedder.None {
+		return nil
+	}
+	d := x.decision
+	return []any{"cause", string(d.Cause), "share", d.Share, "cost", d.Cost, "success", d.Success}
+}
+
 // logOutcome logs the outcome of a request that reached the send filter of its
 // entry node.
 func (f *Forwarder) logOutcome(x *Exchange, a *attempt, final result, now time.Time) {
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -96,6 +96,7 @@
 	if r, ok := final.(*notRunResult); ok && r.refusal.Reason == ReasonLimit {
 		s.forwarder.recordLevel(x, a.pacedLevel, s.now())
 	}
+	s.forwarder.recordChainOutcome(x, final, s.now())
 	s.forwarder.logOutcome(x, a, final, s.now())
 	switch r := final.(type) {
 	case *answeredResult:
@@ -267,6 +268,9 @@
 	body, length := x.nextBody()
 	header := x.request.Header.Clone()
 	header.Set(headerHop, encodeHop(hop))
+	if a.filter.forwarder.deps.Chains != nil {
+		setWeightHeader(header, x)
+	}
 	life, s := a.filter.forwarder.deps.Router.Statement(a.target.Instance)
 	setStatementHeaders(header, life, s)
 	if x.streamed {
@@ -342,6 +346,7 @@
 		f.deps.Router.RecordLoad(a.target.Instance, float64(load)/100)
 	}
 	a.recordPeerStatement(x, r.Header)
+	f.recordCost(x, r.Header)
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
 		refusal := readRefusal(r, NotRun)
@@ -365,10 +370,20 @@
 // for shedding at the entry. For a call, it also raises the level of the request
 // that made the call.
 func (f *Forwarder) recordLevel(x *Exchange, level admitter.Priority, now time.Time) {
-	f.shedLevels.record(shedKeyOf(x), rejectedHashes(level, x.hop.Rank), now)
+	rejected := rejectedHashes(level, x.hop.Rank)
+	switch {
+	case f.deps.Chains == nil:
+		f.shedLevels.record(shedKeyOf(x), rejected, now)
+	case !x.hop.Call:
+		f.deps.Chains.RecordLevel(chainKeyOf(x), float64(rejected)/rootHashCount, now)
+	}
 	switch {
+	case x.parent != nil && f.deps.Chains != nil:
+		x.parent.raiseCalleeLevel(x.hop.Service, level)
 	case x.parent != nil:
 		x.parent.raiseLevel(level)
+	case x.inferredParent != nil && f.deps.Chains != nil:
+		x.inferredParent.raiseCalleeLevel(x.hop.Service, level)
 	case x.inferredParent != nil:
 		x.inferredParent.raiseLevel(level)
 	case x.hop.Call:
--- a/pkg/forwarder/shed_filter.go
+++ b/pkg/forwarder/shed_filter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
+	"github.com/primrosewall/primrosewall/pkg/shedder"
 )
 
 // shedFilter rejects root requests at the entry that a service further down the
@@ -19,12 +20,19 @@
 
 // Serve implements Filter.
 func (s *shedFilter) Serve(x *Exchange, next func(*Exchange)) {
+	f := s.forwarder
 	if x.hop.Call {
+		if f.deps.Chains != nil {
+			x.inheritWeight()
+		}
 		next(x)
 		return
 	}
-	f := s.forwarder
 	now := f.deps.Clock.Now()
+	if f.deps.Chains != nil {
+		s.serveChains(x, next, now)
+		return
+	}
 	key := shedKeyOf(x)
 	passFraction := 1 - min(f.shedLevels.get(key, now), rootHashCount-probeHashes)/rootHashCount
 	passFraction = f.fairShares.recordArrival(key, x.hop.Team, passFraction, now)
@@ -39,6 +47,49 @@
 	next(x)
 }
 
+const (
+	// minShedWait and maxShedWait bound the retry delay for a request that Chains holds
+	// back. Jitter doubles it at most.
+	minShedWait = 200 * time.Millisecond
+	maxShedWait = time.Second
+)
+
+// serveChains lets Chains decide on a root request.
+func (s *shedFilter) serveChains(x *Exchange, next func(*Exchange), now time.Time) {
+	f := s.forwarder
+	d := f.deps.Chains.Decide(chainKeyOf(x), now)
+	share := f.fairShares.recordArrival(shedKeyOf(x), x.hop.Team, d.Share, now)
+	if d.Cause == shedder.Hopeless {
+		// What a team gets of the probes does not matter.
+		share = d.Share
+	}
+	share = max(share, d.Share*shedder.FloorFraction, shedder.ProbeShare)
+	x.decision = d
+	x.decision.Share = share
+	hash := float64(admitter.NewPriority(0, false, x.hop.Root))
+	if hash >= rootHashCount*(1-share) || d.Probe {
+		if d.Cause == shedder.Overload && !d.Probe {
+			x.weight = 1 / share
+		}
+		next(x)
+		return
+	}
+	f.count("refused_shed")
+	if d.Cause == shedder.Hopeless {
+		f.count("refused_hopeless")
+		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, maxShedWait, "calls that requests of this route make hardly ever succeed now"))
+		return
+	}
+	x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, shedWait(share), "service %s, or one that it calls, is overloaded", x.hop.Service))
+}
+
+// shedWait returns the retry delay while a share of the requests passes: the time in
+// which what arrives in minShedWait gets through. A longer delay would leave capacity
+// unused once the excess ends.
+func shedWait(share float64) time.Duration {
+	return min(time.Duration(float64(minShedWait)/share), maxShedWait)
+}
+
 // shedKey identifies a shed level. Besides the service, the level depends on the
 // rank, and on the route of the root request, which decides which other services
 // take part.
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -17,6 +17,8 @@
 		{Name: "primrose_inflight", Help: "Requests running at the own target.", Read: func() float64 { return float64(s.admitter.Load().Inflight) }},
 		{Name: "primrose_queued", Help: "Requests waiting for the own target.", Read: func() float64 { return float64(s.admitter.Load().Queued) }},
 		{Name: "primrose_level", Help: "Priority below which requests are better refused at their entry node.", Read: func() float64 { return float64(s.admitter.Load().Level) }},
+		{Name: "primrose_demand", Help: "Demand for the own target in slots, with what entry nodes hold back; 0 unless shedding is chains.", Read: func() float64 { return s.admitter.Load().Demand }},
+		{Name: "primrose_passing_share", Help: "Least share of any route's requests of a rank that this entry node lets pass; 1 unless shedding is chains.", Read: s.passingShare},
 		{Name: "primrose_target_rate", Help: "Requests a second that the own target takes at most, as it states; -1 if it names no limit.", Read: s.targetRate},
 		{Name: "primrose_target_connections", Help: "Connections made to targets since the start.", Read: func() float64 { return float64(s.connector.Dialed()) }},
 		{Name: "primrose_updates", Help: "Updates that this node still has to tell others, or keeps for members that become known.", Read: func() float64 { return float64(s.gossip.PendingUpdates()) }},
@@ -44,5 +46,13 @@
 	return -1
 }
 
+// passingShare returns the least share that this entry node lets pass.
+func (s *Server) passingShare() float64 {
+	if s.chains == nil {
+		return 1
+	}
+	return s.chains.Least(s.clock.Now())
+}
+
 // MetricNames returns the metrics of this node with their help texts.
 func (s *Server) MetricNames() (map[string]string, error) { return s.measurer.Names() }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/pkg/router"
 	"github.com/primrosewall/primrosewall/pkg/sealer"
+	"github.com/primrosewall/primrosewall/pkg/shedder"
 	"github.com/primrosewall/primrosewall/pkg/storer"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/pkg/withdrawer"
@@ -102,9 +103,11 @@
 	tokens       *limiter.TokenClient
 	announcer    *announcer.Announcer
 	admitter     *admitter.Admitter
-	router       *router.Router
-	forwarder    *forwarder.Forwarder
-	connector    *connector.Connector
+	// chains is nil unless the setting shedding is chains.
+	chains    *shedder.Chains
+	router    *router.Router
+	forwarder *forwarder.Forwarder
+	connector *connector.Connector
 
 	metrics  *expvar.Map
 	measurer *measurer.Measurer
@@ -250,6 +253,10 @@
 // buildDataPath makes the components that handle requests.
 func (s *Server) buildDataPath() {
 	s.admitter = admitter.New(s.clock, limitAlgorithm(s.settings.Rule))
+	if s.settings.Shedding == configurer.SheddingChains {
+		s.admitter.UseDemand()
+		s.chains = &shedder.Chains{}
+	}
 	s.connector = connector.New(s.clock, connector.TargetIdleTimeout)
 	claimer := deduplicator.NewClaimer(s.clock, s.caller, func() (uint64, []*control.Member) {
 		v := s.config.Current().Value()
@@ -258,7 +265,7 @@
 	s.router = router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom())
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
-		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, CountEvent: s.countEvent, Observer: s.measurer,
+		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, Chains: s.chains, CountEvent: s.countEvent, Observer: s.measurer,
 		Router:        s.router,
 		PeerTransport: forwarder.NewPeerTransport(s.sealer.Client()),
 		PeerConnector: s.plainPeerConnector(),
