Setting "waiting": "objective": wait only while the objective can be met

What callers saw: a request waited 0.1 s for a slot whatever its objective; short ones were answered late while long ones, which could wait, went first. A refusal named a delay that callers do not honour.

Change: with the setting a request waits at most until it can no longer be answered within its objective (of its own route, or of the request that made the call), a quarter of the objective at most; it is refused at once if the expected wait is longer. Within rank and the fair share of teams, the objective that ends first goes first, and one that is missed goes last. Hops carry the time left in Primrose-Left. The delay of a refusal for lack of capacity is bounded to what callers honour, a third of the time that they have left. Without the setting everything is as before.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -72,6 +72,8 @@
 	inflight   int
 	queue      queue
 	level      level
+	// objectives is set by UseObjectives.
+	objectives bool
 	// demand replaces level if it is set, see UseDemand.
 	demand *demand
 	// pacer keeps the limit that the target names; pacedLevel is the admission level
@@ -140,28 +142,46 @@
 // that the target names, or an error that wraps the context's error if the context was
 // done first.
 func (a *Admitter) Admit(ctx context.Context, team string, p Priority) (*Ticket, error) {
-	return a.AdmitWeighted(ctx, team, p, 1)
-}
-
-// AdmitWeighted is Admit for a request that stands for weight requests, all but one of
-// which the entry nodes rejected. weight is 0 for a request that another node of the
-// service has already rejected, or UnknownWeight.
-func (a *Admitter) AdmitWeighted(ctx context.Context, team string, p Priority, weight float64) (*Ticket, error) {
+	return a.AdmitRequest(ctx, Request{Team: team, Priority: p, Weight: 1})
+}
+
+// Request is a request for a slot.
+type Request struct {
+	Team     string
+	Priority Priority
+	// Weight is for how many requests this one stands, all others of which the entry
+	// nodes rejected. It is 0 for a request that another node of the service has already
+	// rejected, or UnknownWeight.
+	Weight float64
+	// Objective is the time in which requests like this are to be answered, 0 if none is
+	// declared. DueAt is when the request is to be answered, zero if that is not known,
+	// and Deadline when nobody waits for the answer any more. They count only with
+	// UseObjectives.
+	Objective       time.Duration
+	DueAt, Deadline time.Time
+}
+
+// AdmitRequest is Admit with all that is known of the request.
+func (a *Admitter) AdmitRequest(ctx context.Context, r Request) (*Ticket, error) {
 	a.mu.Lock()
 	now := a.clock.Now()
-	a.recordArrival(p, now)
+	a.recordArrival(r.Priority, now)
 	if a.demand != nil {
-		a.demand.recordArrival(p, weight)
+		a.demand.recordArrival(r.Priority, r.Weight)
 	}
 	a.rejectExpired(now)
 	if a.hasRoom(now) && a.queue.size == 0 {
-		t := a.acquire(team, p, now)
+		t := a.acquire(r.Team, r.Priority, now)
 		a.level.recordWait(0)
 		a.pacedLevel.recordWait(0)
 		a.mu.Unlock()
 		return t, nil
 	}
-	w := &waiter{team: team, priority: p, since: now, result: make(chan error, 1)}
+	w := &waiter{team: r.Team, priority: r.Priority, since: now, result: make(chan error, 1)}
+	if err := a.bound(w, r); err != nil {
+		a.mu.Unlock()
+		return nil, err
+	}
 	if err := a.enqueue(w); err != nil {
 		a.mu.Unlock()
 		return nil, err
@@ -198,7 +218,9 @@
 	a.queue.push(w)
 	a.dispatch()
 	w.paced = !a.pacer.Ready(w.since)
-	w.expiresAt = w.since.Add(a.queueTimeout(w.paced))
+	if w.dueAt.IsZero() {
+		w.expiresAt = w.since.Add(a.queueTimeout(w.paced))
+	}
 	if a.queue.size <= a.maxQueueLength(w.since) {
 		return nil
 	}
@@ -276,6 +298,10 @@
 		if w == nil {
 			return
 		}
+		if !w.dueAt.IsZero() && w.expiresAt.Before(now) {
+			w.result <- a.reject(w, now)
+			continue
+		}
 		a.inflight++
 		a.pacer.Begin(now)
 		if w.paced {
--- a/pkg/admitter/doc.go
+++ b/pkg/admitter/doc.go
@@ -9,6 +9,9 @@
 // A target may name a limit in requests a second. Requests then begin at that rate;
 // those that find no room in it wait and are rejected in the same order.
 //
+// With UseObjectives requests wait only as long as they can still be answered within
+// their objective, and within a team those whose objective ends first go first.
+//
 // An admission level, which the node reports to upstream nodes, says which
 // requests the admitter would reject, so that the entry node rejects them before
 // any work is spent on them. By default it moves in steps while requests wait or are
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // waiter is a request that waits for a slot.
 type waiter struct {
@@ -9,12 +12,20 @@
 	since    time.Time
 	// expiresAt is when its queue timeout passes.
 	expiresAt time.Time
+	// dueAt is when its objective ends; zero unless it was bounded by it, see bound.
+	dueAt time.Time
 	// paced is set if it had to wait for the limit that the target names.
 	paced bool
 	// result receives nil when the request may run, or the error that rejects it.
 	result chan error
 }
 
+// before reports whether w is served before an earlier waiter of its team: if its
+// objective ends sooner. A request without an objective keeps its place.
+func (w *waiter) before(other *waiter) bool {
+	return !w.dueAt.IsZero() && !other.dueAt.IsZero() && w.dueAt.Before(other.dueAt)
+}
+
 // teamQueue holds the waiters of one team within one class.
 type teamQueue struct {
 	team    string
@@ -54,7 +65,11 @@
 	q.size++
 	for _, t := range q.classes[class] {
 		if t.team == w.team {
-			t.waiters = append(t.waiters, w)
+			index := len(t.waiters)
+			for index > 0 && w.before(t.waiters[index-1]) {
+				index--
+			}
+			t.waiters = slices.Insert(t.waiters, index, w)
 			return
 		}
 	}
@@ -110,7 +125,8 @@
 }
 
 // leastUrgent returns the waiter to reject first: in the lowest class, of the team
-// with the most waiters, the one with the lowest hash.
+// with the most waiters, the one with the lowest hash, or with objectives the one whose
+// objective ends last, which can best afford to return.
 func (q *queue) leastUrgent() *waiter {
 	for class := range classCount {
 		var longest *teamQueue
@@ -120,6 +136,9 @@
 			}
 		}
 		if longest != nil {
+			if last := longest.waiters[len(longest.waiters)-1]; !last.dueAt.IsZero() {
+				return last
+			}
 			return lowestPriority(longest.waiters)
 		}
 	}
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -63,6 +63,10 @@
 	// request of each route costs and yields, or empty, by the level of pressure.
 	Shedding string `json:"shedding"`
 
+	// Waiting selects how requests wait for the own target: objective, only as long as
+	// they can be answered within their objective, or empty, for a fixed time.
+	Waiting string `json:"waiting"`
+
 	// Interface selects a translation for callers, targets and operators; empty
 	// for the daemon's own protocol.
 	Interface string `json:"interface"`
@@ -160,6 +164,9 @@
 // SheddingChains is a value of Settings.Shedding.
 const SheddingChains = "chains"
 
+// WaitingObjective is a value of Settings.Waiting.
+const WaitingObjective = "objective"
+
 // The values that Default uses.
 const (
 	defaultListen      = "127.0.0.1:7400"
@@ -295,6 +302,9 @@
 	if s.Shedding != "" && s.Shedding != SheddingChains {
 		return d.Problem("shedding", "is %q; %s, or empty, would be right", s.Shedding, SheddingChains)
 	}
+	if s.Waiting != "" && s.Waiting != WaitingObjective {
+		return d.Problem("waiting", "is %q; %s, or empty, would be right", s.Waiting, WaitingObjective)
+	}
 	if len(s.Seeds) == 0 && !slices.Contains(s.Replicas, s.Peer) {
 		return d.Problem("seeds", "is empty and peer is not among the replicas; name at least one peer address to join by")
 	}
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -26,7 +26,10 @@
 	ctx, cancel := context.WithDeadline(x.Context(), x.deadline)
 	defer cancel()
 	a.forwarder.applyTargetLimit(target.Life)
-	ticket, err := deps.Admitter.AdmitWeighted(ctx, x.hop.Team, priorityOf(x), x.admissionWeight())
+	ticket, err := deps.Admitter.AdmitRequest(ctx, admitter.Request{
+		Team: x.hop.Team, Priority: priorityOf(x), Weight: x.admissionWeight(),
+		Objective: time.Duration(x.hop.Objective) * time.Microsecond, DueAt: x.dueAt, Deadline: x.deadline,
+	})
 	var overload *admitter.OverloadError
 	var paced *admitter.PacedError
 	switch {
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -28,7 +28,7 @@
 	f := d.forwarder
 	ctx, cancel := context.WithCancelCause(d.context(x))
 	defer cancel(context.Canceled)
-	inFlight := &InFlightRequest{ctx: ctx, id: f.newID(), hop: x.hop, budget: x.budget, deadline: x.deadline, startedAt: d.now(), life: x.target.Life, weight: x.weight}
+	inFlight := &InFlightRequest{ctx: ctx, id: f.newID(), hop: x.hop, budget: x.budget, deadline: x.deadline, startedAt: d.now(), life: x.target.Life, weight: x.weight, dueAt: x.dueAt}
 	f.inFlightTable.add(inFlight)
 	shed := false
 	defer func() {
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -84,6 +84,9 @@
 	// counted is set on the target's node if another node has rejected the request and
 	// counted it as demand.
 	counted bool
+	// dueAt is when the objective of the request, or of the one that made the call, ends;
+	// zero unless Deps.Objectives is set.
+	dueAt time.Time
 	// decision is what the shed filter decided; unset unless Deps.Chains is set.
 	decision shedder.Decision
 	// chainCost is what the answers to a root request told.
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -55,6 +55,9 @@
 	// Chains decides which root requests to hold back by their success per cost; nil to
 	// hold them back by the level alone.
 	Chains *shedder.Chains
+	// Objectives is set if requests wait by their objectives; see
+	// admitter.UseObjectives.
+	Objectives bool
 	// Dialect is the set of HTTP conventions of callers and targets.
 	Dialect Dialect
 	// PeerTransport sends requests to other nodes, with the URL scheme PeerScheme.
@@ -191,10 +194,11 @@
 	faulter.Reach(faulter.HopReceived)
 	f.adoptLimit(hop, r.Header)
 	weight, counted := readWeight(r.Header)
+	dueAt := readLeft(r.Header, f.deps.Clock.Now())
 	removePrefixedHeaders(r.Header)
 	now := f.deps.Clock.Now()
 	x := &Exchange{
-		writer: w, request: r, config: f.deps.Config.Current(), startedAt: now, hop: hop, weight: weight, counted: counted, atTargetNode: true, onRefusal: f.logHopRefusal,
+		writer: w, request: r, config: f.deps.Config.Current(), startedAt: now, hop: hop, weight: weight, counted: counted, dueAt: dueAt, atTargetNode: true, onRefusal: f.logHopRefusal,
 		budget: retrier.NewBudget(hop.Retries), deadline: now.Add(time.Duration(hop.Timeout) * time.Microsecond),
 	}
 	if hasLongBody(r) {
--- a/pkg/forwarder/in_flight.go
+++ b/pkg/forwarder/in_flight.go
@@ -39,6 +39,8 @@
 	// stands.
 	calls  chainCost
 	weight float64
+	// dueAt is when its objective ends; zero if that is not known.
+	dueAt time.Time
 	// callees are the levels that the called services returned; unused without Chains.
 	callees []calleeLevel
 }
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -41,8 +41,8 @@
 
 	// The following are used only between nodes. headerLife says which life of the
 	// target HeaderLimit and HeaderLeaving are about, headerCost what a request used of
-	// overloaded services, in microseconds, and headerWeight for how many requests one
-	// stands.
+	// overloaded services, in microseconds, headerWeight for how many requests one
+	// stands, and headerLeft the time until its objective ends, in microseconds.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
@@ -50,6 +50,7 @@
 	headerLife    = "Primrose-Life"
 	headerCost    = "Primrose-Cost"
 	headerWeight  = "Primrose-Weight"
+	headerLeft    = "Primrose-Left"
 
 	// headerTeam names the team of a request to the target.
 	headerTeam = "Primrose-Team"
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -103,7 +103,7 @@
 		r.answer.write(x)
 	case *notRunResult:
 		s.forwarder.count("refused_" + string(r.refusal.Reason))
-		x.refuse(r.refusal)
+		x.refuse(s.forwarder.capWait(x, r.refusal, s.now()))
 	case *unknownResult:
 		s.forwarder.count("lost")
 		x.refuse(r.refusal)
@@ -271,6 +271,7 @@
 	if a.filter.forwarder.deps.Chains != nil {
 		setWeightHeader(header, x)
 	}
+	setLeftHeader(header, x, a.startedAt)
 	life, s := a.filter.forwarder.deps.Router.Statement(a.target.Instance)
 	setStatementHeaders(header, life, s)
 	if x.streamed {
--- a/pkg/forwarder/shed_filter.go
+++ b/pkg/forwarder/shed_filter.go
@@ -21,6 +21,7 @@
 // Serve implements Filter.
 func (s *shedFilter) Serve(x *Exchange, next func(*Exchange)) {
 	f := s.forwarder
+	f.setDueAt(x)
 	if x.hop.Call {
 		if f.deps.Chains != nil {
 			x.inheritWeight()
@@ -41,7 +42,7 @@
 	hash := float64(admitter.NewPriority(0, false, x.hop.Root))
 	if hash < rootHashCount*(1-passFraction) {
 		f.count("refused_shed")
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, shedRetryDelay, "service %s, or one that it calls, is overloaded", x.hop.Service))
+		x.refuse(f.capWait(x, refuse(http.StatusServiceUnavailable, ReasonLoad, shedRetryDelay, "service %s, or one that it calls, is overloaded", x.hop.Service), now))
 		return
 	}
 	next(x)
@@ -77,10 +78,10 @@
 	f.count("refused_shed")
 	if d.Cause == shedder.Hopeless {
 		f.count("refused_hopeless")
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, maxShedWait, "calls that requests of this route make hardly ever succeed now"))
+		x.refuse(f.capWait(x, refuse(http.StatusServiceUnavailable, ReasonLoad, maxShedWait, "calls that requests of this route make hardly ever succeed now"), now))
 		return
 	}
-	x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, shedWait(share), "service %s, or one that it calls, is overloaded", x.hop.Service))
+	x.refuse(f.capWait(x, refuse(http.StatusServiceUnavailable, ReasonLoad, shedWait(share), "service %s, or one that it calls, is overloaded", x.hop.Service), now))
 }
 
 // shedWait returns the retry delay while a share of the requests passes: the time in
--- a/pkg/forwarder/shedding_replay_test.go
+++ b/pkg/forwarder/shedding_replay_test.go
@@ -298,7 +298,7 @@
 		at := &Exchange{hop: x.hop}
 		at.weight, at.counted = r.weightHeader(x)
 		ctx, cancel := context.WithTimeout(context.Background(), replayObjective)
-		ticket, err := a.AdmitWeighted(ctx, x.hop.Team, priorityOf(x), at.admissionWeight())
+		ticket, err := a.AdmitRequest(ctx, admitter.Request{Team: x.hop.Team, Priority: priorityOf(x), Weight: at.admissionWeight()})
 		cancel()
 		if err == nil {
 			return r.runOnTarget(f, x, index, ticket, takes)
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -257,6 +257,10 @@
 		s.admitter.UseDemand()
 		s.chains = &shedder.Chains{}
 	}
+	objectives := s.settings.Waiting == configurer.WaitingObjective
+	if objectives {
+		s.admitter.UseObjectives()
+	}
 	s.connector = connector.New(s.clock, connector.TargetIdleTimeout)
 	claimer := deduplicator.NewClaimer(s.clock, s.caller, func() (uint64, []*control.Member) {
 		v := s.config.Current().Value()
@@ -265,7 +269,7 @@
 	s.router = router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom())
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
-		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, Chains: s.chains, CountEvent: s.countEvent, Observer: s.measurer,
+		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, Chains: s.chains, Objectives: objectives, CountEvent: s.countEvent, Observer: s.measurer,
 		Router:        s.router,
 		PeerTransport: forwarder.NewPeerTransport(s.sealer.Client()),
 		PeerConnector: s.plainPeerConnector(),
--- a/test/shedding_test.go
+++ b/test/shedding_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestChainsShedAtTheEntry overloads a service that is reached by calls only, on nodes
-// with the setting shedding. Its levels and costs must reach the entry node through the
+// with the settings shedding and waiting. Its levels and costs must reach the entry node through the
 // node of the calling target: the entry node refuses root requests, names the measured
 // cost, and two seconds after the overload serves all.
 func TestChainsShedAtTheEntry(t *testing.T) {
@@ -20,14 +20,14 @@
 	front := f.add("front", "east", true, "-service", "front", "-slots", "100", "-time", "1ms", "-next", "/back")
 	back := f.add("back", "east", false, "-service", "back", "-slots", "4", "-time", "50ms")
 	for _, n := range []*node{front, back} {
-		n.extraSettings = map[string]any{"shedding": "chains"}
+		n.extraSettings = map[string]any{"shedding": "chains", "waiting": "objective"}
 	}
 	f.start()
 	front.declare(`{
   "centres": {"east": {"witnesses": ["front"]}},
   "teams": {},
   "routes": [
-    {"name": "front", "path": "/front", "service": "front", "open": true},
+    {"name": "front", "path": "/front", "service": "front", "open": true, "objective": 1000},
     {"name": "back", "path": "/back", "service": "back", "open": true}
   ]
 }`)
