Shedding: a chain's failure is predicted from single calls

Cause: on a node with 10 requests a second of a route, its own outcomes show after 3 s that it hardly ever succeeds.

Change: Primrose-Cost also carries the number of a request's calls and of those that failed by themselves. The entry node raises the success of the last 24 calls of all routes to the power of the calls that a request of a route makes. If that is below 0.1 and the last 3 requests of the route have failed because of calls, it is refused but for probes, until the prediction reaches 0.2 or a probe succeeds. Own outcomes still decide, as before, where nothing is predicted.

Ruled out: the prediction without the route's own failures: calls of all routes are counted together, and a chain through other services would be refused (TestChainIsPredictedFromCalls).

--- a/pkg/forwarder/chain_costs.go
+++ b/pkg/forwarder/chain_costs.go
@@ -12,55 +12,77 @@
 )
 
 const (
-	// costFailed follows the cost in headerCost if a call of the request failed.
-	costFailed = ",failed"
 	// weightUnknown is the value of headerWeight for a call without a known parent.
 	weightUnknown = "unknown"
 	// weightCounted follows the weight if another node has counted the request.
 	weightCounted = ",counted"
-	// maxCost bounds the cost that a node takes from another; it is above every
-	// timeout in use.
-	maxCost = time.Hour
+	// maxCost and maxCalls bound what a node takes from another; they are above every
+	// timeout and number of calls in use.
+	maxCost  = time.Hour
+	maxCalls = 10000
 )
 
 // chainCost is what the calls of a request told: the slot time that they used at
-// overloaded services, and whether one of them failed.
+// overloaded services, their number, and of how many the own failure, not that of a
+// further call, made them fail. The numbers are fractions for calls that may belong to
+// several requests.
 type chainCost struct {
-	cost   time.Duration
-	failed bool
+	cost          time.Duration
+	calls, failed float64
 }
 
 func (c *chainCost) add(other chainCost) {
 	c.cost = min(c.cost+other.cost, maxCost)
-	c.failed = c.failed || other.failed
+	c.calls, c.failed = min(c.calls+other.calls, maxCalls), min(c.failed+other.failed, maxCalls)
+}
+
+// divide returns an equal part for each of n requests.
+func (c chainCost) divide(n int) chainCost {
+	return chainCost{cost: c.cost / time.Duration(n), calls: c.calls / float64(n), failed: c.failed / float64(n)}
 }
 
 // setCostHeader tells the sender of a request what it and its calls used of overloaded
-// services, and whether a call failed.
+// services, and how its calls ended.
 func (f *Forwarder) setCostHeader(x *Exchange, r *InFlightRequest) {
 	if f.deps.Chains == nil {
 		return
 	}
 	c := r.chainCost()
 	c.add(chainCost{cost: x.ticket.Cost()})
-	if c == (chainCost{}) {
-		return
+	if c != (chainCost{}) {
+		x.writer.Header().Set(headerCost, c.String())
 	}
-	text := strconv.FormatInt(c.cost.Microseconds(), 10)
-	if c.failed {
-		text += costFailed
-	}
-	x.writer.Header().Set(headerCost, text)
+}
+
+// String returns the value of headerCost: microseconds, calls, failed calls.
+func (c chainCost) String() string {
+	text := strconv.AppendInt(nil, c.cost.Microseconds(), 10)
+	if c.calls > 0 {
+		text = strconv.AppendFloat(append(text, ','), c.calls, 'g', 4, 64)
+		text = strconv.AppendFloat(append(text, ','), c.failed, 'g', 4, 64)
+	}
+	return string(text)
 }
 
 // readCost reads what setCostHeader wrote; a value that cannot be read counts as none.
 func readCost(h http.Header) chainCost {
-	number, failed := strings.CutSuffix(h.Get(headerCost), costFailed)
-	micros, err := strconv.ParseInt(number, 10, 64)
+	text, counts, counted := strings.Cut(h.Get(headerCost), ",")
+	micros, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || micros < 0 || micros > maxCost.Microseconds() {
 		return chainCost{}
 	}
-	return chainCost{cost: time.Duration(micros) * time.Microsecond, failed: failed}
+	c := chainCost{cost: time.Duration(micros) * time.Microsecond}
+	if !counted {
+		return c
+	}
+	text, failedText, _ := strings.Cut(counts, ",")
+	calls, err := strconv.ParseFloat(text, 64)
+	failed, errFailed := strconv.ParseFloat(failedText, 64)
+	if err != nil || errFailed != nil || !(calls >= 0 && calls <= maxCalls && failed >= 0 && failed <= calls) {
+		return chainCost{}
+	}
+	c.calls, c.failed = calls, failed
+	return c
 }
 
 // setWeightHeader tells the target's node for how many requests this one stands, and
@@ -116,20 +138,15 @@
 	}
 }
 
-// recordCost takes what an answer told of its request: for a call, it goes to the
-// request that made the call.
+// recordCost takes what the answer to an attempt told. The cost of all attempts counts;
+// how the calls ended, the last one says.
 func (f *Forwarder) recordCost(x *Exchange, h http.Header) {
 	if f.deps.Chains == nil {
 		return
 	}
 	c := readCost(h)
-	switch {
-	case x.hop.Call && c.cost > 0:
-		f.addToParent(x, chainCost{cost: c.cost})
-	case !x.hop.Call:
-		// Whether the request fails for its calls, its last attempt says.
-		x.chainCost = chainCost{cost: min(x.chainCost.cost+c.cost, maxCost), failed: c.failed}
-	}
+	c.cost = min(c.cost+x.chainCost.cost, maxCost)
+	x.chainCost = c
 }
 
 // addToParent adds to what the calls of a request told, for the request that made this
@@ -146,17 +163,20 @@
 	}
 }
 
-// recordChainOutcome records how a request ended: a failed call for the request that
-// made it, a root request for the decisions of this entry node. A root request that no
+// recordChainOutcome records how a request ended: a call for the request that made it, a
+// root request for the decisions of this entry node. A root request that no
 // target received has cost nothing and says nothing about its chain.
 func (f *Forwarder) recordChainOutcome(x *Exchange, final result, now time.Time) {
 	if f.deps.Chains == nil {
 		return
 	}
 	if x.hop.Call {
-		if callFailed(final) {
-			f.addToParent(x, chainCost{failed: true})
+		c := x.chainCost
+		c.calls++
+		if callFailed(final) && c.failed == 0 {
+			c.failed++
 		}
+		f.addToParent(x, c)
 		return
 	}
 	succeeded := false
@@ -172,7 +192,8 @@
 		succeeded = routerResultOf(r.answer.status) == router.Succeeded && (objective == 0 || now.Sub(x.startedAt) <= objective)
 	}
 	f.deps.Chains.RecordOutcome(chainKeyOf(x), shedder.Outcome{
-		Succeeded: succeeded, CallFailed: !succeeded && x.chainCost.failed, Cost: x.chainCost.cost,
+		Succeeded: succeeded, CallFailed: !succeeded && x.chainCost.failed > 0,
+		Cost: x.chainCost.cost, Calls: x.chainCost.calls, FailedCalls: x.chainCost.failed,
 	}, now)
 }
 
--- a/pkg/forwarder/chain_costs_test.go
+++ b/pkg/forwarder/chain_costs_test.go
@@ -39,12 +39,12 @@
 		qt.Check(t, weight, qt.Equals, 1.0, qt.Commentf("%q", text))
 		qt.Check(t, counted, qt.IsFalse)
 	}
-	for _, text := range []string{"", "x", "-3", "99999999999999", ",failed"} {
+	for _, text := range []string{"", "x", "-3", "99999999999999", ",1,1", "5,x,1", "5,1", "5,1,2", "5,-1,0", "5,NaN,0", "5,99999,0"} {
 		qt.Check(t, readCost(http.Header{headerCost: {text}}), qt.Equals, chainCost{}, qt.Commentf("%q", text))
 	}
 }
 
-// TestCostsAddUpAtTheParent checks that the costs of calls, and a failed one, reach the
+// TestCostsAddUpAtTheParent checks that the costs and numbers of calls reach the
 // request that made them: with a call id, with a parent inferred by its deadline, and,
 // without any, in equal parts the requests whose route makes such calls.
 func TestCostsAddUpAtTheParent(t *testing.T) {
@@ -57,18 +57,27 @@
 	}
 	known, inferred, unknown := call(), call(), call()
 	known.parent, inferred.inferredParent = first, first
-	header := http.Header{headerCost: {"40000,failed"}}
+	answered := &answeredResult{answer: &Answer{status: http.StatusOK}}
+	header := http.Header{headerCost: {chainCost{cost: 40 * time.Millisecond, calls: 2}.String()}}
 	f.recordCost(known, header)
+	f.recordChainOutcome(known, answered, now)
 	f.recordCost(inferred, header)
-	qt.Assert(t, first.chainCost(), qt.Equals, chainCost{cost: 80 * time.Millisecond})
+	f.recordChainOutcome(inferred, answered, now)
+	qt.Assert(t, first.chainCost(), qt.Equals, chainCost{cost: 80 * time.Millisecond, calls: 6})
 	f.inFlightTable.inferParent("read", now.Add(-time.Second))
 	f.recordCost(unknown, header)
-	qt.Assert(t, first.chainCost().cost, qt.Equals, 100*time.Millisecond)
-	qt.Assert(t, second.chainCost().cost, qt.Equals, 20*time.Millisecond)
-	// A failed call counts by its final result, as another attempt may have succeeded.
-	f.recordChainOutcome(known, &notRunResult{refusal: Refuse(http.StatusServiceUnavailable, ReasonLoad, "")}, now)
-	qt.Assert(t, first.chainCost().failed, qt.IsTrue)
-	qt.Assert(t, second.chainCost().failed, qt.IsFalse)
+	f.recordChainOutcome(unknown, answered, now)
+	qt.Assert(t, first.chainCost(), qt.Equals, chainCost{cost: 100 * time.Millisecond, calls: 7.5})
+	qt.Assert(t, second.chainCost(), qt.Equals, chainCost{cost: 20 * time.Millisecond, calls: 1.5})
+	// Of a failed call whose own call failed, only the latter counts as failed.
+	refused := &notRunResult{refusal: Refuse(http.StatusServiceUnavailable, ReasonLoad, "")}
+	outer, inner := call(), call()
+	outer.parent, inner.parent = second, second
+	f.recordCost(outer, http.Header{headerCost: {"0,1,1"}})
+	f.recordChainOutcome(outer, refused, now)
+	f.recordChainOutcome(inner, refused, now)
+	qt.Assert(t, second.chainCost(), qt.Equals, chainCost{cost: 20 * time.Millisecond, calls: 4.5, failed: 2})
+	qt.Assert(t, first.chainCost().failed, qt.Equals, 0.0)
 }
 
 // TestCalleeLevelsAreAveraged checks that the level of a request is the mean over the
--- a/pkg/forwarder/in_flight.go
+++ b/pkg/forwarder/in_flight.go
@@ -271,7 +271,7 @@
 			candidates++
 		}
 	}
-	c.cost /= time.Duration(max(candidates, 1))
+	c = c.divide(max(candidates, 1))
 	for _, r := range t.byID {
 		if t.callGraph.makesCalls(r.hop.Arrival, route) {
 			r.addChainCost(c)
--- a/pkg/forwarder/shedding_replay_test.go
+++ b/pkg/forwarder/shedding_replay_test.go
@@ -337,9 +337,7 @@
 		return
 	}
 	f.recordLevel(x, r.targets[index].Load().Level, time.Now())
-	h := http.Header{}
-	h.Set(headerCost, fmt.Sprint(c.cost.Microseconds()))
-	f.recordCost(x, h)
+	f.recordCost(x, http.Header{headerCost: {c.String()}})
 }
 
 func playReplay(t *testing.T, chains bool, silentTarget int) *replay {
--- a/pkg/shedder/chains.go
+++ b/pkg/shedder/chains.go
@@ -55,6 +55,17 @@
 	// A route with a true share of 0.45 fails 8 times in a row in 1 of 120 cases.
 	hopelessSuccess = 0.1
 	minOutcomes     = 8
+	// failedRow is the number of requests in a row whose calls failed from which a route
+	// is refused at once if the success of single calls predicts less than
+	// hopelessSuccess for its chain; it passes again from recoveredSuccess on.
+	failedRow        = 3
+	recoveredSuccess = 2 * hopelessSuccess
+	// minCalls is the number of recent calls, of all routes, from which chains are
+	// predicted, and maxCalls bounds the count, so that the newest decide.
+	minCalls = 8
+	maxCalls = 24
+	// callsWeight is the weight of the newest request in the mean number of calls.
+	callsWeight = 0.1
 	// similarValue is the ratio of success per cost up to which routes are held back in
 	// equal parts; smaller differences are within the noise of the counts.
 	similarValue = 1.25
@@ -102,6 +113,9 @@
 	CallFailed bool
 	// Cost is the slot time that it used at overloaded services.
 	Cost time.Duration
+	// Calls is the number of its calls, and FailedCalls of those that failed by
+	// themselves.
+	Calls, FailedCalls float64
 }
 
 // Chains holds back root requests at an entry node. The zero value works.
@@ -112,6 +126,10 @@
 	// levels are the latest levels of each rank, over the routes that use overloaded
 	// services.
 	levels [rankCount]level
+	// calls and failedCalls count the recent calls of all routes, with decay; calledAt is
+	// when the last was counted.
+	calls, failedCalls float64
+	calledAt           time.Time
 	// plan is the scratch list of computeShares.
 	plan                           []*class
 	plannedAt, troubleAt, prunedAt time.Time
@@ -131,6 +149,12 @@
 	// a probe, arrivedAt when the last request came.
 	outcomeAt, probedAt, arrivedAt time.Time
 	hopeless                       bool
+	// calls is the mean number of calls of a request that succeeds. failedRow counts the
+	// requests in a row whose calls failed. predicted is set while the route is hopeless
+	// and its chain is predicted to fail.
+	calls     float64
+	failedRow int
+	predicted bool
 	// affected is set while a class of the route is to be held back.
 	affected bool
 }
@@ -248,13 +272,28 @@
 	}
 	r := c.class(key).route
 	r.count(o, now)
+	c.countCalls(o, now)
 	if o.Succeeded && r.hopeless {
-		// The route is judged anew, from outcomes after this one.
-		r.hopeless = false
-		r.outcomes, r.successes, r.callFailures = 0, 0, 0
+		r.restart()
 	}
 }
 
+// countCalls counts the calls of a request among those of all routes.
+func (c *Chains) countCalls(o Outcome, now time.Time) {
+	if o.Calls <= 0 {
+		return
+	}
+	kept := min(decay(now.Sub(c.calledAt), informationTime), max(0, 1-o.Calls/maxCalls))
+	c.calls, c.failedCalls = c.calls*kept+o.Calls, c.failedCalls*kept+min(o.FailedCalls, o.Calls)
+	c.calledAt = now
+}
+
+// restart has the route judged anew, from outcomes after this.
+func (r *route) restart() {
+	r.hopeless, r.predicted, r.failedRow = false, false, 0
+	r.outcomes, r.successes, r.callFailures = 0, 0, 0
+}
+
 // Least returns the least share of any route's requests that passes.
 func (c *Chains) Least(now time.Time) float64 {
 	c.mu.Lock()
@@ -297,10 +336,17 @@
 func (r *route) count(o Outcome, now time.Time) {
 	recent := min(decay(now.Sub(r.countedAt), outcomeTime), 1-1.0/maxOutcomes)
 	r.outcomes, r.successes, r.callFailures = r.outcomes*recent+1, r.successes*recent, r.callFailures*recent
-	if o.Succeeded {
+	switch {
+	case o.Succeeded:
 		r.successes++
-	} else if o.CallFailed {
+		r.failedRow = 0
+		if r.calls == 0 {
+			r.calls = o.Calls
+		}
+		r.calls += callsWeight * (o.Calls - r.calls)
+	case o.CallFailed:
 		r.callFailures++
+		r.failedRow++
 	}
 	r.countCost(o, now)
 	r.countedAt, r.outcomeAt = now, now
--- a/pkg/shedder/chains_test.go
+++ b/pkg/shedder/chains_test.go
@@ -46,6 +46,9 @@
 			o := r.outcome
 			o.Succeeded = r.succeedEvery > 0 && r.begun%r.succeedEvery == 0
 			o.CallFailed = o.CallFailed && !o.Succeeded
+			if o.CallFailed && o.Calls > 0 {
+				o.Calls, o.FailedCalls = 1, 1
+			}
 			e.chains.RecordLevel(r.key, r.held, e.now)
 			e.chains.RecordOutcome(r.key, o, e.now)
 		}
@@ -119,6 +122,29 @@
 	qt.Check(t, e.share("chain"), qt.Equals, 1.0)
 }
 
+// TestChainIsPredictedFromCalls checks that a chain of eight calls is refused within half
+// a second after single calls begin to fail in every second case, long before its own
+// outcomes show it, passes again within a second after single calls succeed, and that a
+// chain of the same length whose own calls succeed is not touched.
+func TestChainIsPredictedFromCalls(t *testing.T) {
+	e := newEntry()
+	chain, single, other := costly("chain", 15, 0, 0), costly("single", 3, 0, 0), costly("other", 3, 0, 0)
+	chain.outcome.Calls, single.outcome.Calls, other.outcome.Calls = 8, 1, 8
+	e.run(2*time.Second, true, chain, single, other)
+	chain.succeedEvery, single.succeedEvery = 0, 2
+	e.run(500*time.Millisecond, true, chain, single)
+	begun := chain.begun
+	e.run(time.Second, true, chain, single)
+	qt.Check(t, chain.begun-begun <= 4, qt.IsTrue, qt.Commentf("%d", chain.begun-begun))
+	e.run(time.Second, true, chain, single, other)
+	qt.Check(t, e.share("other"), qt.Equals, 1.0, qt.Commentf("%v of %v", e.passed, e.total))
+	qt.Check(t, e.share("single"), qt.Equals, 1.0, qt.Commentf("%v of %v", e.passed, e.total))
+	chain.succeedEvery, single.succeedEvery = 1, 1
+	e.run(time.Second, true, chain, single)
+	e.run(time.Second, true, chain, single)
+	qt.Check(t, e.share("chain"), qt.Equals, 1.0, qt.Commentf("%v of %v", e.passed, e.total))
+}
+
 // TestAllPassWithoutInformation checks that a second after the last answer all requests
 // pass, those of a hopeless route too.
 func TestAllPassWithoutInformation(t *testing.T) {
--- a/pkg/shedder/shares.go
+++ b/pkg/shedder/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -98,29 +99,43 @@
 	}
 }
 
-// judge finds the hopeless routes: those of which hardly any begun request succeeds
-// because their calls fail, while another route that meets failures or overloaded
-// services does better. If none does, the whole service fails, and refusing would
-// serve nobody better.
+// judge finds the hopeless routes, while another route that meets failures or overloaded
+// services does better. If none does, the whole service fails, and refusing would serve
+// nobody better. A route is hopeless if hardly any begun request succeeds because calls
+// fail, or, sooner, if its last ones have failed so and the success of the calls of all
+// routes predicts it for as many calls as it makes.
 func (c *Chains) judge(now time.Time) {
 	best := 0.0
 	for _, r := range c.routes {
-		if r.judged(now) && (r.outcomes > r.successes || r.cost(now) > 0) {
+		if r.recent(now) && r.outcomes >= minOutcomes/2 && (r.outcomes > r.successes || r.cost(now) > 0) {
 			best = max(best, r.successes/r.outcomes)
 		}
 	}
 	for _, r := range c.routes {
-		r.hopeless = r.judged(now) && r.successes < hopelessSuccess*r.outcomes &&
-			r.callFailures > (r.outcomes-r.successes)/2 && best >= 2*hopelessSuccess
+		chain := c.chainSuccess(r, now)
+		if r.hopeless && r.predicted && chain >= recoveredSuccess {
+			r.restart()
+		}
+		few := r.recent(now) && (r.hopeless || r.outcomes >= minOutcomes) && r.successes < hopelessSuccess*r.outcomes &&
+			r.callFailures > (r.outcomes-r.successes)/2
+		failing := r.recent(now) && chain < hopelessSuccess && r.failedRow >= failedRow
+		r.hopeless = (few || failing || r.hopeless && r.predicted && r.recent(now)) && best >= 2*hopelessSuccess
+		r.predicted = r.hopeless && (r.predicted || chain < hopelessSuccess)
 	}
 }
 
-// judged reports whether there are enough recent outcomes to judge a route. One that is
-// hopeless gets few, so that a single recent one keeps it so.
-func (r *route) judged(now time.Time) bool {
-	return now.Sub(r.outcomeAt) <= informationTime && (r.hopeless || r.outcomes >= minOutcomes)
+// chainSuccess predicts the success of a request of a route from that of single calls;
+// 1 if it is not known.
+func (c *Chains) chainSuccess(r *route, now time.Time) float64 {
+	if now.Sub(c.calledAt) > informationTime || c.calls < minCalls {
+		return 1
+	}
+	return math.Pow(1-c.failedCalls/c.calls, r.calls)
 }
 
+// recent reports whether a route has an outcome that still counts.
+func (r *route) recent(now time.Time) bool { return now.Sub(r.outcomeAt) <= informationTime }
+
 // prune forgets routes and classes without recent requests.
 func (c *Chains) prune(now time.Time) {
 	if now.Sub(c.prunedAt) < idleTime {
