Shedding: levels of calls without a known parent are kept

What callers saw: with the setting shedding, a level that came back for a call without a known parent was lost with the next answer to a call of the same request, so that the entry node heard of no overload.

Cause: the level of a request is computed anew from the means per called service, of which raiseLevels did not know.

Change: such levels go into the means of the requests that may have made the call. The requests are found in one pass for cost and in one for levels.

--- a/pkg/forwarder/chain_costs_test.go
+++ b/pkg/forwarder/chain_costs_test.go
@@ -97,6 +97,18 @@
 	qt.Check(t, r.callLevel() > 4900, qt.IsTrue, qt.Commentf("%d", r.callLevel()))
 }
 
+// TestLevelsOfUnknownParentsAreKept checks that a level that came for a call without a
+// known parent is not lost when a call with one is answered.
+func TestLevelsOfUnknownParentsAreKept(t *testing.T) {
+	f := &Forwarder{deps: Deps{Clock: timekeeper.RuntimeClock{}, Chains: &shedder.Chains{}}}
+	now := time.Unix(1000, 0)
+	r := addInFlight(&f.inFlightTable, "1", "lookup", now)
+	unknown := &Exchange{route: &declarer.Route{Name: "read"}, hop: &control.Hop{Call: true, Service: "store"}}
+	f.recordLevel(unknown, 4000, now)
+	f.recordLevel(&Exchange{parent: r, hop: &control.Hop{Call: true, Service: "index"}}, 2000, now)
+	qt.Assert(t, r.callLevel(), qt.Equals, admitter.Priority(4000))
+}
+
 // newShedExchange returns a root request at its entry node.
 func newShedExchange(dialect Dialect, root uint32) *Exchange {
 	return &Exchange{
--- a/pkg/forwarder/in_flight.go
+++ b/pkg/forwarder/in_flight.go
@@ -145,6 +145,8 @@
 	mu        sync.Mutex
 	byID      map[string]*InFlightRequest
 	callGraph callGraph
+	// callerList is the scratch list of callers.
+	callerList []*InFlightRequest
 	// failed lists the requests that ended without an answer, oldest first.
 	failed []failedRequest
 	// lastAnsweredLife is the life of the target that gave the latest answer, and
@@ -260,23 +262,36 @@
 	}
 }
 
+// raiseCalleeLevels is raiseLevels with a mean over the answers of each called service.
+func (t *inFlightTable) raiseCalleeLevels(route, service string, level admitter.Priority) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.callers(route) {
+		r.raiseCalleeLevel(service, level)
+	}
+}
+
 // addChainCost divides what the answer to a call without a known parent told among the
 // requests in flight whose route makes calls to the call's route.
 func (t *inFlightTable) addChainCost(route string, c chainCost) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := 0
-	for _, r := range t.byID {
-		if t.callGraph.makesCalls(r.hop.Arrival, route) {
-			candidates++
-		}
+	callers := t.callers(route)
+	for _, r := range callers {
+		r.addChainCost(c.divide(len(callers)))
 	}
-	c = c.divide(max(candidates, 1))
+}
+
+// callers returns the requests in flight whose route makes calls to a route, until the
+// next call. The caller holds the lock.
+func (t *inFlightTable) callers(route string) []*InFlightRequest {
+	t.callerList = t.callerList[:0]
 	for _, r := range t.byID {
 		if t.callGraph.makesCalls(r.hop.Arrival, route) {
-			r.addChainCost(c)
+			t.callerList = append(t.callerList, r)
 		}
 	}
+	return t.callerList
 }
 
 func (t *inFlightTable) count() int {
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -387,6 +387,8 @@
 		x.inferredParent.raiseCalleeLevel(x.hop.Service, level)
 	case x.inferredParent != nil:
 		x.inferredParent.raiseLevel(level)
+	case x.hop.Call && f.deps.Chains != nil:
+		f.inFlightTable.raiseCalleeLevels(x.route.Name, x.hop.Service, level)
 	case x.hop.Call:
 		f.inFlightTable.raiseLevels(x.route.Name, level)
 	}
