--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -80,6 +80,10 @@
 	// drained is set while no request may begin, since the data centre is drained.
 	drained bool
 	level   level
+	// objectives is set by UseObjectives.
+	objectives bool
+	// demand replaces level if it is set, see UseDemand.
+	demand *demand
 	// pacer keeps the limit that the target names; pacedLevel is the admission level
 	// that follows from it.
 	pacer      pacer.Pacer
@@ -99,6 +103,15 @@
 	return &Admitter{clock: clock, algorithm: algorithm, costs: map[string]float64{}}
 }
 
+// UseDemand makes the level follow the measured demand, and calls of requests that have
+// begun come before all others. It must be called before the first request.
+func (a *Admitter) UseDemand() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.demand = &demand{}
+	a.queue.downstreamFirst = true
+}
+
 // SetSlots sets the number of slots of the target. warmup is how long a target
 // that just started is slow; it is negative if the target has not just started.
 func (a *Admitter) SetSlots(slots int, warmup time.Duration) {
@@ -146,6 +159,7 @@
 type Ticket struct {
 	admitter *Admitter
 	team     string
+	priority Priority
 	began    time.Time
 	// inflight is the number of requests in flight when this one began.
 	inflight int
@@ -162,22 +176,50 @@
 // that the target names, a *DrainedError if the data centre is drained, or an error that
 // wraps the context's error if the context was done first.
 func (a *Admitter) Admit(ctx context.Context, team string, p Priority) (*Ticket, error) {
+	return a.AdmitRequest(ctx, Request{Team: team, Priority: p, Weight: 1})
+}
+
+// Request is a request for a slot.
+type Request struct {
+	Team     string
+	Priority Priority
+	// Weight is for how many requests this one stands, all others of which the entry
+	// nodes rejected. It is 0 for a request that another node of the service has already
+	// rejected, or UnknownWeight.
+	Weight float64
+	// Objective is the time in which requests like this are to be answered, 0 if none is
+	// declared. DueAt is when the request is to be answered, zero if that is not known,
+	// and Deadline when nobody waits for the answer any more. They count only with
+	// UseObjectives.
+	Objective       time.Duration
+	DueAt, Deadline time.Time
+}
+
+// AdmitRequest is Admit with all that is known of the request.
+func (a *Admitter) AdmitRequest(ctx context.Context, r Request) (*Ticket, error) {
 	a.mu.Lock()
 	if a.drained {
 		a.mu.Unlock()
 		return nil, &DrainedError{}
 	}
 	now := a.clock.Now()
-	a.recordArrival(p, now)
+	a.recordArrival(r.Priority, now)
+	if a.demand != nil {
+		a.demand.recordArrival(r.Priority, r.Weight)
+	}
 	a.rejectExpired(now)
 	if a.hasRoom(now) && a.queue.size == 0 {
-		t := a.acquire(team, now)
+		t := a.acquire(r.Team, r.Priority, now)
 		a.level.recordWait(0)
 		a.pacedLevel.recordWait(0)
 		a.mu.Unlock()
 		return t, nil
 	}
-	w := &waiter{team: team, priority: p, since: now, result: make(chan error, 1)}
+	w := &waiter{team: r.Team, priority: r.Priority, since: now, result: make(chan error, 1)}
+	if err := a.bound(w, r); err != nil {
+		a.mu.Unlock()
+		return nil, err
+	}
 	if err := a.enqueue(w); err != nil {
 		a.mu.Unlock()
 		return nil, err
@@ -196,6 +238,9 @@
 
 func (a *Admitter) advanceLevels(now time.Time) {
 	a.level.advance(now, a.serviceTime())
+	if a.demand != nil {
+		a.demand.advance(now, a.currentLimit(now), a.queue.size, a.serviceTime())
+	}
 	a.pacedLevel.advance(now, a.serviceTime())
 }
 
@@ -211,7 +256,9 @@
 	a.queue.push(w)
 	a.dispatch()
 	w.paced = !a.pacer.Ready(w.since)
-	w.expiresAt = w.since.Add(a.queueTimeout(w.paced))
+	if w.dueAt.IsZero() {
+		w.expiresAt = w.since.Add(a.queueTimeout(w.paced))
+	}
 	if a.queue.size <= a.maxQueueLength(w.since) {
 		return nil
 	}
@@ -233,6 +280,9 @@
 		return &PacedError{Wait: a.pacer.Backoff(now)}
 	}
 	a.level.rejected = true
+	if a.demand != nil {
+		a.demand.rejected++
+	}
 	return a.overloadError()
 }
 
@@ -268,14 +318,14 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &Ticket{admitter: a, team: w.team, began: a.clock.Now(), inflight: a.inflight}, nil
+	return &Ticket{admitter: a, team: w.team, priority: w.priority, began: a.clock.Now(), inflight: a.inflight}, nil
 }
 
 // acquire takes a free slot.
-func (a *Admitter) acquire(team string, now time.Time) *Ticket {
+func (a *Admitter) acquire(team string, p Priority, now time.Time) *Ticket {
 	a.inflight++
 	a.pacer.Begin(now)
-	return &Ticket{admitter: a, team: team, began: now, inflight: a.inflight}
+	return &Ticket{admitter: a, team: team, priority: p, began: now, inflight: a.inflight}
 }
 
 // dispatch gives free slots to waiters.
@@ -286,6 +336,10 @@
 		if w == nil {
 			return
 		}
+		if !w.dueAt.IsZero() && w.expiresAt.Before(now) {
+			w.result <- a.reject(w, now)
+			continue
+		}
 		a.inflight++
 		a.pacer.Begin(now)
 		if w.paced {
@@ -385,6 +439,9 @@
 	now := a.clock.Now()
 	elapsed := now.Sub(t.began)
 	a.inflight--
+	if a.demand != nil {
+		a.demand.recordEnd(t.priority, elapsed)
+	}
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
 	a.workTime.record(now, elapsed, t.failed)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
@@ -398,15 +455,42 @@
 func (a *Admitter) Level() Priority {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.level.advance(a.clock.Now(), a.serviceTime())
+	now := a.clock.Now()
+	a.level.advance(now, a.serviceTime())
+	if a.demand != nil {
+		a.demand.advance(now, a.currentLimit(now), a.queue.size, a.serviceTime())
+	}
+	return a.threshold()
+}
+
+// threshold returns the level that is in use. The caller holds the lock.
+func (a *Admitter) threshold() Priority {
+	if a.demand != nil {
+		return a.demand.level
+	}
 	return a.level.threshold()
 }
 
+// Cost returns the time for which the request has held its slot, or 0 while the slots
+// of the target are not scarce.
+func (t *Ticket) Cost() time.Duration {
+	a := t.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.demand == nil || !a.demand.scarce() {
+		return 0
+	}
+	return a.clock.Now().Sub(t.began)
+}
+
 // Load is a snapshot of the admitter, for metrics and for the load reported to
 // other nodes.
 type Load struct {
 	Slots, Limit, Inflight, Queued int
 	Level                          Priority
+	// Demand is the demand in slots, with what the entry nodes hold back; 0 unless the
+	// level follows it.
+	Demand float64
 	// Paced is the part of the limit named by the target that is in use, from 0 to 1,
 	// and PacedLevel the admission level that follows from that limit.
 	Paced      float64
@@ -417,8 +501,12 @@
 func (a *Admitter) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Load{
-		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.threshold(),
+	load := Load{
+		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.threshold(),
 		Paced: a.pacer.Utilization(a.clock.Now()), PacedLevel: a.pacedLevel.threshold(),
 	}
+	if a.demand != nil {
+		load.Demand = a.demand.total
+	}
+	return load
 }
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // waiter is a request that waits for a slot.
 type waiter struct {
@@ -9,12 +12,20 @@
 	since    time.Time
 	// expiresAt is when its queue timeout passes.
 	expiresAt time.Time
+	// dueAt is when its objective ends; zero unless it was bounded by it, see bound.
+	dueAt time.Time
 	// paced is set if it had to wait for the limit that the target names.
 	paced bool
 	// result receives nil when the request may run, or the error that rejects it.
 	result chan error
 }
 
+// before reports whether w is served before an earlier waiter of its team: if its
+// objective ends sooner. A request without an objective keeps its place.
+func (w *waiter) before(other *waiter) bool {
+	return !w.dueAt.IsZero() && !other.dueAt.IsZero() && w.dueAt.Before(other.dueAt)
+}
+
 // teamQueue holds the waiters of one team within one class.
 type teamQueue struct {
 	team    string
@@ -29,17 +40,36 @@
 type queue struct {
 	classes [classCount][]*teamQueue
 	size    int
+	// downstreamFirst orders calls of requests that have begun before all others,
+	// whatever their rank: rejecting one wastes the work already spent. By default the
+	// rank comes first.
+	downstreamFirst bool
+}
+
+// class returns the class of a waiter.
+func (q *queue) class(p Priority) int {
+	if !q.downstreamFirst {
+		return p.class()
+	}
+	if p&downstreamBit != 0 {
+		return 1<<rankBits + int(p.rank())
+	}
+	return int(p.rank())
 }
 
 // minQuantum is the minimum target time in seconds that a team gets in a round.
 const minQuantum = 0.0001
 
 func (q *queue) push(w *waiter) {
-	class := w.priority.class()
+	class := q.class(w.priority)
 	q.size++
 	for _, t := range q.classes[class] {
 		if t.team == w.team {
-			t.waiters = append(t.waiters, w)
+			index := len(t.waiters)
+			for index > 0 && w.before(t.waiters[index-1]) {
+				index--
+			}
+			t.waiters = slices.Insert(t.waiters, index, w)
 			return
 		}
 	}
@@ -82,7 +112,7 @@
 
 // remove removes a waiter and reports whether it was still in the queue.
 func (q *queue) remove(w *waiter) bool {
-	for _, t := range q.classes[w.priority.class()] {
+	for _, t := range q.classes[q.class(w.priority)] {
 		for i, other := range t.waiters {
 			if other == w {
 				t.waiters = append(t.waiters[:i:i], t.waiters[i+1:]...)
@@ -95,7 +125,8 @@
 }
 
 // leastUrgent returns the waiter to reject first: in the lowest class, of the team
-// with the most waiters, the one with the lowest hash.
+// with the most waiters, the one with the lowest hash, or with objectives the one whose
+// objective ends last, which can best afford to return.
 func (q *queue) leastUrgent() *waiter {
 	for class := range classCount {
 		var longest *teamQueue
@@ -105,6 +136,9 @@
 			}
 		}
 		if longest != nil {
+			if last := longest.waiters[len(longest.waiters)-1]; !last.dueAt.IsZero() {
+				return last
+			}
 			return lowestPriority(longest.waiters)
 		}
 	}
--- a/pkg/forwarder/in_flight.go
+++ b/pkg/forwarder/in_flight.go
@@ -35,6 +35,44 @@
 	level admitter.Priority
 	// failedCall is set once a call failed; see markFailedCall.
 	failedCall bool
+	// calls is what the answers to its calls told; weight is for how many requests it
+	// stands.
+	calls  chainCost
+	weight float64
+	// dueAt is when its objective ends; zero if that is not known.
+	dueAt time.Time
+	// callees are the levels that the called services returned; unused without Chains.
+	callees []calleeLevel
+}
+
+// calleeLevel is the level that a called service returned, as a moving average.
+type calleeLevel struct {
+	service string
+	level   float64
+}
+
+// calleeWeight is the weight of the newest level in that average. Each call goes to
+// another target of the service, and the highest of their levels would be above the
+// one that the service needs.
+const calleeWeight = 0.5
+
+// raiseCalleeLevel sets the level to the highest of the called services.
+func (r *InFlightRequest) raiseCalleeLevel(service string, level admitter.Priority) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	index := slices.IndexFunc(r.callees, func(c calleeLevel) bool { return c.service == service })
+	if index < 0 {
+		if level == 0 {
+			return
+		}
+		r.callees = append(r.callees, calleeLevel{service, float64(level)})
+	} else {
+		r.callees[index].level += calleeWeight * (float64(level) - r.callees[index].level)
+	}
+	r.level = 0
+	for _, c := range r.callees {
+		r.level = max(r.level, admitter.Priority(c.level))
+	}
 }
 
 // beginCall records that the target waits for a call.
@@ -89,12 +127,26 @@
 	return r.level
 }
 
+func (r *InFlightRequest) addChainCost(c chainCost) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls.add(c)
+}
+
+func (r *InFlightRequest) chainCost() chainCost {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
+}
+
 // inFlightTable holds the requests that this node's target is running, and those
 // that recently ended without an answer.
 type inFlightTable struct {
 	mu        sync.Mutex
 	byID      map[string]*InFlightRequest
 	callGraph callGraph
+	// callerList is the scratch list of callers.
+	callerList []*InFlightRequest
 	// failed lists the requests that ended without an answer, oldest first.
 	failed []failedRequest
 	// lastAnsweredLife is the life of the target that gave the latest answer, and
@@ -210,6 +262,38 @@
 	}
 }
 
+// raiseCalleeLevels is raiseLevels with a mean over the answers of each called service.
+func (t *inFlightTable) raiseCalleeLevels(route, service string, level admitter.Priority) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.callers(route) {
+		r.raiseCalleeLevel(service, level)
+	}
+}
+
+// addChainCost divides what the answer to a call without a known parent told among the
+// requests in flight whose route makes calls to the call's route.
+func (t *inFlightTable) addChainCost(route string, c chainCost) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	callers := t.callers(route)
+	for _, r := range callers {
+		r.addChainCost(c.divide(len(callers)))
+	}
+}
+
+// callers returns the requests in flight whose route makes calls to a route, until the
+// next call. The caller holds the lock.
+func (t *inFlightTable) callers(route string) []*InFlightRequest {
+	t.callerList = t.callerList[:0]
+	for _, r := range t.byID {
+		if t.callGraph.makesCalls(r.hop.Arrival, route) {
+			t.callerList = append(t.callerList, r)
+		}
+	}
+	return t.callerList
+}
+
 func (t *inFlightTable) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -39,15 +39,20 @@
 	// the same idempotency key.
 	HeaderReplay = "Primrose-Replay"
 
-	// headerHop, headerRetries, headerLevel, headerLoad, headerWork and headerLife are
-	// used only between nodes. headerLife says which life of the target HeaderLimit and
-	// HeaderLeaving are about, headerWork what the target has to do for all nodes.
+	// The following are used only between nodes. headerLife says which life of the
+	// target HeaderLimit and HeaderLeaving are about, headerWork what the target has to
+	// do for all nodes, headerCost what a request used of overloaded services, in
+	// microseconds, headerWeight for how many requests one stands, and headerLeft the
+	// time until its objective ends, in microseconds.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
 	headerLoad    = "Primrose-Load"
 	headerWork    = "Primrose-Work"
 	headerLife    = "Primrose-Life"
+	headerCost    = "Primrose-Cost"
+	headerWeight  = "Primrose-Weight"
+	headerLeft    = "Primrose-Left"
 
 	// headerTeam names the team of a request to the target.
 	headerTeam = "Primrose-Team"
