Hard load: tests of callers outside the limits

Callers that send heads over the limit, heads without end or empty lines made a process run out of memory. The tests send crowds of them to each listener of a process with `memory` 96, and check that the process lives, stays under its stated memory and under as many descriptors for each MiB as the smallest machines have (4,100 for 184 MiB: 2,139), and serves an ordinary request afterwards.

--- /dev/null
+++ b/test/outside_limits_test.go
@@ -0,0 +1,215 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// crowdMemory is the memory of the process, in MiB, as its settings state it. The
+	// resident memory must stay under it.
+	crowdMemory = 96
+	// crowdDescriptors bounds the open descriptors: as many for each MiB as on the
+	// smallest machines, which have 4,100 descriptors and 184 MiB.
+	crowdDescriptors = crowdMemory * 4100 / 184
+	// crowdConnections is the number of connections that the crowd holds open at a time,
+	// more than the process has descriptors for.
+	crowdConnections = 2400
+	// smallCrowd is the number of callers that keep the node parsing all the time; more
+	// would only compete with it for the processor.
+	smallCrowd = 400
+	// crowdTime is how long a crowd stays, and dripInterval how often a slow caller sends.
+	crowdTime    = 2 * time.Second
+	dripInterval = 200 * time.Millisecond
+	// heldHeadBytes is how much of a head slow callers send at once: less than what
+	// net/http refuses.
+	heldHeadBytes = 31 << 10
+)
+
+// crowd is a number of callers outside the limits.
+type crowd struct {
+	address string
+	// first is sent at once, then piece until the connection ends, with a pause of
+	// dripInterval in between if slow is set. A caller whose connection has ended opens
+	// another one.
+	first, piece string
+	slow         bool
+	size         int
+
+	ctx   context.Context
+	end   context.CancelFunc
+	group sync.WaitGroup
+}
+
+func (c *crowd) start() {
+	c.ctx, c.end = context.WithCancel(context.Background())
+	for range c.size {
+		c.group.Add(1)
+		go c.run()
+	}
+}
+
+func (c *crowd) stop() {
+	c.end()
+	c.group.Wait()
+}
+
+func (c *crowd) run() {
+	defer c.group.Done()
+	for {
+		c.hold()
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-time.After(dripInterval):
+		}
+	}
+}
+
+// hold keeps one connection until it ends or the crowd does.
+func (c *crowd) hold() {
+	conn, err := net.DialTimeout("tcp", c.address, time.Second)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	defer context.AfterFunc(c.ctx, func() { conn.Close() })()
+	_, err = io.WriteString(conn, c.first)
+	for err == nil {
+		if c.slow {
+			time.Sleep(dripInterval)
+		}
+		_, err = io.WriteString(conn, c.piece)
+	}
+}
+
+// shortLines returns header lines without values, each with another name, of a total length.
+func shortLines(length int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < length; i++ {
+		fmt.Fprintf(&b, "%s:\r\n", strconv.FormatInt(int64(i), 36))
+	}
+	return b.String()
+}
+
+// openDescriptors returns the number of open descriptors of the daemon.
+func (n *node) openDescriptors() int {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.daemon.Process.Pid))
+	n.fleet.Assert(err, qt.IsNil, qt.Commentf("the process has ended"))
+	return len(list)
+}
+
+// crowdNode starts a node, with all its listeners, that serves requests.
+func crowdNode(t *testing.T) *node {
+	f := newFleet(t)
+	n := f.add("a", "east", true, "-service", "back")
+	n.extraSettings = map[string]any{"memory": crowdMemory, "links": "plain", "ready": addresses.Next(), "metrics": addresses.Next()}
+	f.start()
+	n.declare(`{
+  "centres": {"east": {"witnesses": ["a"]}},
+  "teams": {},
+  "routes": [{"name": "open", "path": "/open", "service": "back", "open": true}]
+}`)
+	f.waitUntil("the node has routed a request to its target", func() bool { return n.send("GET", "/open", nil, nil).status == 200 })
+	return n
+}
+
+// controlNode starts a node that serves the control calls of the users' platform.
+func controlNode(t *testing.T) *node {
+	f := newFleet(t)
+	n := f.add("a", "east", true)
+	n.extraSettings = map[string]any{"memory": crowdMemory, "links": "plain", "interface": "platform", "control": addresses.Next()}
+	n.startDaemon()
+	f.waitUntil("the node answers at its control address", func() bool { return answers(n.extraSettings["control"].(string)) })
+	return n
+}
+
+// answers reports whether a listener answers a request.
+func answers(address string) bool {
+	response, err := newClient().Get("http://" + address + "/")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode < http.StatusInternalServerError
+}
+
+// resists lets a crowd come to each listener, and checks that the process lives, that its
+// memory and its open descriptors stay bounded, and that it serves afterwards.
+func resists(t *testing.T, size int, first, piece string, slow bool) {
+	n := crowdNode(t)
+	other := controlNode(t)
+	for _, l := range []struct {
+		name, address string
+		node          *node
+	}{
+		{"listen", n.listen, n}, {"peer", n.peer, n}, {"admin", n.admin, n}, {"control", other.extraSettings["control"].(string), other},
+		{"ready", n.extraSettings["ready"].(string), n}, {"metrics", n.extraSettings["metrics"].(string), n},
+	} {
+		t.Run(l.name, func(t *testing.T) {
+			c := &crowd{address: l.address, first: first, piece: piece, slow: slow, size: size}
+			memory, descriptors := 0, 0
+			c.start()
+			for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				memory, descriptors = max(memory, l.node.residentMemory()), max(descriptors, l.node.openDescriptors())
+			}
+			c.stop()
+			t.Logf("%s: %d MiB, %d descriptors", l.name, memory>>20, descriptors)
+			qt.Check(t, memory <= crowdMemory<<20, qt.IsTrue, qt.Commentf("%d MiB of resident memory, %d stated", memory>>20, crowdMemory))
+			qt.Check(t, descriptors <= crowdDescriptors, qt.IsTrue, qt.Commentf("%d open descriptors", descriptors))
+			l.node.fleet.waitUntil("the listener answers", func() bool { return answers(l.address) })
+			n.fleet.waitUntil("an ordinary request is served", func() bool { return n.send("GET", "/open", nil, nil).status == 200 })
+		})
+	}
+}
+
+const crowdRequestLine = "GET /open/x HTTP/1.1\r\nHost: x\r\n"
+
+// TestHeldLongLines guards against memory taken by many heads with a long line that do not end.
+func TestHeldLongLines(t *testing.T) {
+	resists(t, crowdConnections, crowdRequestLine+"Long: "+strings.Repeat("x", heldHeadBytes), "x", true)
+}
+
+// TestHeldShortLines guards against memory taken by many heads with thousands of short lines
+// that do not end: parsed, they take many times their length.
+func TestHeldShortLines(t *testing.T) {
+	resists(t, crowdConnections, crowdRequestLine+shortLines(heldHeadBytes), "x", true)
+}
+
+// TestLongLinesWithoutEnd guards against memory taken by heads far over the limit.
+func TestLongLinesWithoutEnd(t *testing.T) {
+	resists(t, crowdConnections, crowdRequestLine+"Long: ", strings.Repeat("x", 16<<10), false)
+}
+
+// TestShortLinesWithoutEnd guards against memory taken by heads of short lines over the limit.
+func TestShortLinesWithoutEnd(t *testing.T) {
+	resists(t, smallCrowd, crowdRequestLine, shortLines(64<<10), false)
+}
+
+// TestWholeHeadsOfShortLines guards against memory taken by requests whose heads have
+// thousands of lines and do end.
+func TestWholeHeadsOfShortLines(t *testing.T) {
+	head := crowdRequestLine + shortLines(heldHeadBytes) + "\r\n"
+	resists(t, smallCrowd, head, head, false)
+}
+
+// TestEmptyLinesWithoutEnd guards against memory taken by empty lines before a request.
+func TestEmptyLinesWithoutEnd(t *testing.T) {
+	resists(t, crowdConnections, "\r\n", strings.Repeat("\r\n", 8<<10), false)
+}
+
+// TestSlowEmptyLines guards against connections held by empty lines that come slowly.
+func TestSlowEmptyLines(t *testing.T) {
+	resists(t, crowdConnections, "\r\n", "\r\n", true)
+}
