Callers outside the limits: bounds over all connections of a process

Callers saw a node run out of memory: a crowd held heads without end, sent thousands of short lines, or opened more connections than the machine has descriptors for.

Cause: net/http bounds each head, and nothing bounds all of them. A head of 31 KiB in short lines takes over 1 MB once parsed.

pkg/bounder decides over all listeners of a process which connection gives way: a bound on connections, on the memory of heads and short bodies, and on the lines of a head. Heads up to 4 KiB and 64 lines are not counted in the memory, so ordinary requests pass while it is used up. Refusals are 431, or 503 not run in the dialect of the listener. The defaults follow from `memory`; without it and without `callers` nothing is counted.

A head that ended before its request ran now counts for another second.

A new one checks that a single caller inside the declared limits is served.

--- /dev/null
+++ b/pkg/bounder/bounder_test.go
@@ -0,0 +1,116 @@
+package bounder
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/primrosewall/primrosewall/pkg/timekeeper"
+)
+
+type evictions struct{ list []string }
+
+func (e *evictions) add(s *Slot, cause Cause) {
+	e.list = append(e.list, s.Conn.(string)+" "+string(cause))
+}
+
+func longHead(n int) []byte { return []byte("GET / HTTP/1.1\r\nLong: " + strings.Repeat("x", n)) }
+
+// TestSlowestHeadGivesWay guards against a new caller that is turned away because of heads
+// that have been read for long.
+func TestSlowestHeadGivesWay(t *testing.T) {
+	e := &evictions{}
+	clock := &timekeeper.Manual{}
+	b := New(Limits{Bytes: 150 << 10}, clock, e.add)
+	g := b.Gate()
+	qt.Assert(t, g.Admit("ordinary").Read(longHead(100)), qt.Equals, Cause(""))
+	qt.Assert(t, g.Admit("first").Read(longHead(20<<10)), qt.Equals, Cause(""))
+	qt.Assert(t, g.Admit("newest").Read(longHead(20<<10)), qt.Equals, TooMuchMemory)
+	clock.Advance(holdTime)
+	qt.Assert(t, g.Admit("second").Read(longHead(20<<10)), qt.Equals, Cause(""))
+	qt.Assert(t, e.list, qt.DeepEquals, []string{"first memory"})
+	clock.Advance(holdTime)
+	// A head that is over the limit by itself gives way after all others.
+	qt.Assert(t, g.Admit("huge").Read(longHead(60<<10)), qt.Equals, TooMuchMemory)
+	qt.Assert(t, e.list, qt.DeepEquals, []string{"first memory", "second memory"})
+	qt.Assert(t, g.Admit("ordinary too").Read(longHead(100)), qt.Equals, Cause(""))
+	connections, bytes := b.Usage()
+	qt.Assert(t, connections, qt.Equals, 2)
+	qt.Assert(t, bytes, qt.Equals, int64(0))
+}
+
+// TestRunningRequestsDoNotGiveWay guards against a request that is ended although it may run.
+func TestRunningRequestsDoNotGiveWay(t *testing.T) {
+	e := &evictions{}
+	clock := &timekeeper.Manual{}
+	b := New(Limits{Bytes: 150 << 10, Connections: 16}, clock, e.add)
+	g := b.Gate()
+	runs := g.Admit("runs")
+	qt.Assert(t, runs.Read(longHead(20<<10)), qt.Equals, Cause(""))
+	qt.Assert(t, runs.Begin(16<<10), qt.Equals, Cause(""))
+	clock.Advance(holdTime)
+	qt.Assert(t, g.Admit("new").Read(longHead(20<<10)), qt.Equals, TooMuchMemory)
+	qt.Assert(t, e.list, qt.HasLen, 0)
+	runs.Idle()
+	qt.Assert(t, g.Admit("later").Read(longHead(20<<10)), qt.Equals, Cause(""))
+}
+
+// TestConnectionsGiveWayInOrder guards against idle connections of nodes that are closed
+// because of a crowd at another listener.
+func TestConnectionsGiveWayInOrder(t *testing.T) {
+	e := &evictions{}
+	b := New(Limits{Connections: 8}, &timekeeper.Manual{}, e.add)
+	peer, g := b.Gate(), b.Gate()
+	p := peer.Admit("peer")
+	p.Begin(0)
+	p.Idle()
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		s := g.Admit(name)
+		if name != "c" {
+			s.Begin(0)
+		}
+		if name == "b" {
+			s.Idle()
+		}
+	}
+	qt.Assert(t, g.Admit("h").Begin(0), qt.Equals, Cause(""))
+	qt.Assert(t, g.Admit("i").Begin(0), qt.Equals, Cause(""))
+	qt.Assert(t, g.Admit("j"), qt.IsNil)
+	qt.Assert(t, b.Gate().Admit("k"), qt.IsNil)
+	qt.Assert(t, e.list, qt.DeepEquals, []string{"c connections", "b connections"})
+	qt.Assert(t, p.Begin(0), qt.Equals, Cause(""))
+}
+
+// TestLinesOfBodiesAreNotCounted guards against a short head that is refused for the lines of
+// the body that follows it.
+func TestLinesOfBodiesAreNotCounted(t *testing.T) {
+	b := New(Limits{Lines: 100}, &timekeeper.Manual{}, (&evictions{}).add)
+	g := b.Gate()
+	body := strings.Repeat("\n", 200)
+	qt.Assert(t, g.Admit("body").Read([]byte("POST / HTTP/1.1\r\nHost: x\r\n\r\n"+body)), qt.Equals, Cause(""))
+	qt.Assert(t, g.Admit("lines").Read([]byte(strings.Repeat("a:\r\n", 101))), qt.Equals, TooManyLines)
+	connections, _ := b.Usage()
+	qt.Assert(t, connections, qt.Equals, 1)
+}
+
+// TestEndedHeadsGoOnCounting guards against heads of a crowd that follow each other faster
+// than their memory is collected.
+func TestEndedHeadsGoOnCounting(t *testing.T) {
+	clock := &timekeeper.Manual{}
+	b := New(Limits{Bytes: 150 << 10}, clock, (&evictions{}).add)
+	g := b.Gate()
+	s := g.Admit("left")
+	qt.Assert(t, s.Read(longHead(20<<10)), qt.Equals, Cause(""))
+	s.Close()
+	qt.Assert(t, g.Admit("next").Read(longHead(20<<10)), qt.Equals, TooMuchMemory)
+	clock.Advance(holdTime)
+	qt.Assert(t, g.Admit("later").Read(longHead(20<<10)), qt.Equals, Cause(""))
+	// A request that has run is no garbage: ordinary long heads come in quick succession.
+	s = g.Admit("runs")
+	for range 10 {
+		qt.Assert(t, s.Read([]byte("GET / HTTP/1.1\r\nLong: "+strings.Repeat("x", 8<<10)+"\r\n\r\n")), qt.Equals, Cause(""))
+		qt.Assert(t, s.Begin(0), qt.Equals, Cause(""))
+		s.Idle()
+	}
+}
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -85,6 +85,8 @@
 	Service string `json:"service"`
 	// Memory bounds the memory of the process, in MiB; 0 for no bound.
 	Memory int `json:"memory"`
+	// Callers bounds what callers can make the process hold.
+	Callers Callers `json:"callers"`
 	// Grace is the time from the stop signal until the process must have ended.
 	Grace Duration `json:"grace"`
 	// Drain is how long the own target may still receive requests after it has
@@ -233,6 +235,9 @@
 			}
 		}
 	}
+	if err := s.checkCallers(d); err != nil {
+		return err
+	}
 	return s.checkValues(d)
 }
 
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -124,6 +124,18 @@
 	return r.ContentLength < 0 || r.ContentLength > maxReplayableBody
 }
 
+// BufferedBytes returns how much of a request's body is held in memory until it is answered,
+// at most. A streamed body is read as fast as it is sent on.
+func BufferedBytes(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return maxReplayableBody
+	}
+	if hasLongBody(r) {
+		return 0
+	}
+	return r.ContentLength
+}
+
 // timeLeft returns the time until the deadline.
 func (x *Exchange) timeLeft(now time.Time) time.Duration { return x.deadline.Sub(now) }
 
--- /dev/null
+++ b/pkg/server/bounded_listener.go
@@ -0,0 +1,195 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/bounder"
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
+)
+
+const (
+	// refusalWriteTimeout bounds the write of a refusal by the goroutine that reads a head.
+	refusalWriteTimeout = 100 * time.Millisecond
+	// boundRetryDelay is the retry delay of a caller that is refused because heads take too
+	// much memory: those that are slow are gone by then.
+	boundRetryDelay = time.Second
+)
+
+// boundedListener is a listener whose connections count in the bounds of the process.
+type boundedListener struct {
+	net.Listener
+	server *Server
+	gate   *bounder.Gate
+	// refuse answers requests that are refused; useTLS is set where a refusal cannot be
+	// written before a request has been read.
+	refuse func(http.ResponseWriter, *forwarder.Refusal)
+	useTLS bool
+}
+
+// Accept implements net.Listener. It closes connections that find no place.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &boundedConn{Conn: raw, listener: l}
+		if c.slot = l.gate.Admit(c); c.slot != nil {
+			return c, nil
+		}
+		l.server.boundsLog.count(bounder.TooManyConnections)
+		raw.Close()
+	}
+}
+
+// boundedConn is a connection of a boundedListener.
+type boundedConn struct {
+	net.Conn
+	listener *boundedListener
+	slot     *bounder.Slot
+}
+
+// Read implements net.Conn. It ends a connection that has to, with a refusal if it can.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	cause := c.slot.Read(p[:n])
+	if cause == "" {
+		return n, err
+	}
+	c.listener.server.boundsLog.count(cause)
+	c.writeRefusal(boundRefusal(cause))
+	return 0, io.EOF
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.slot.Close()
+	return c.Conn.Close()
+}
+
+// SetLinger sets what becomes of unsent data when the connection is closed.
+func (c *boundedConn) SetLinger(seconds int) error {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return t.SetLinger(seconds)
+}
+
+// boundRefusal returns the refusal for a cause.
+func boundRefusal(cause bounder.Cause) *forwarder.Refusal {
+	if cause == bounder.TooManyLines {
+		return forwarder.Refuse(http.StatusRequestHeaderFieldsTooLarge, forwarder.ReasonRequest, "the head has too many lines")
+	}
+	r := forwarder.Refuse(http.StatusServiceUnavailable, forwarder.ReasonLoad, "the heads and bodies of requests take too much memory")
+	r.Wait = boundRetryDelay
+	return r
+}
+
+// writeRefusal writes a refusal in place of the response to a request whose head has not
+// been read to its end.
+func (c *boundedConn) writeRefusal(r *forwarder.Refusal) {
+	if c.listener.useTLS {
+		return
+	}
+	w := &refusalWriter{header: http.Header{"Connection": {"close"}}}
+	c.listener.refuse(w, r)
+	// An error means that the caller has disconnected, or reads nothing.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_ = w.response().Write(c.Conn)
+}
+
+// refusalWriter collects a refusal.
+type refusalWriter struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (w *refusalWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *refusalWriter) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *refusalWriter) Write(p []byte) (int, error) { return w.body.Write(p) }
+
+func (w *refusalWriter) response() *http.Response {
+	return &http.Response{
+		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true,
+		ContentLength: int64(w.body.Len()), Body: io.NopCloser(&w.body),
+	}
+}
+
+// boundedConnKey is the key of the boundedConn in the context of a request.
+type boundedConnKey struct{}
+
+// boundedConnOf returns the connection that the process counts.
+func boundedConnOf(c net.Conn) *boundedConn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	b, _ := c.(*boundedConn)
+	return b
+}
+
+// boundListener makes the connections of a server count in the bounds of the process, if
+// there are any.
+func (s *Server) boundListener(server *http.Server, socket net.Listener, useTLS bool, refuse func(http.ResponseWriter, *forwarder.Refusal)) net.Listener {
+	if s.bounds == nil {
+		return socket
+	}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, boundedConnKey{}, boundedConnOf(c))
+	}
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if b := boundedConnOf(c); b != nil && state == http.StateIdle {
+			b.slot.Idle()
+		}
+	}
+	server.Handler = &boundedHandler{server: s, next: server.Handler, refuse: refuse}
+	return &boundedListener{Listener: socket, server: s, gate: s.bounds.Gate(), refuse: refuse, useTLS: useTLS}
+}
+
+// boundedHandler counts requests whose heads have been read.
+type boundedHandler struct {
+	server *Server
+	next   http.Handler
+	refuse func(http.ResponseWriter, *forwarder.Refusal)
+}
+
+// ServeHTTP implements http.Handler.
+func (h *boundedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(boundedConnKey{}).(*boundedConn)
+	if !ok || c == nil {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	cause := c.slot.Begin(forwarder.BufferedBytes(r))
+	if cause == "" {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	h.server.boundsLog.count(cause)
+	w.Header().Set("Connection", "close")
+	h.refuse(w, boundRefusal(cause))
+}
+
+// evict closes a connection that gives way to others.
+func (s *Server) evict(slot *bounder.Slot, cause bounder.Cause) {
+	s.boundsLog.count(cause)
+	if err := slot.Conn.(*boundedConn).Conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.countEvent("connection_errors", 1)
+	}
+}
--- /dev/null
+++ b/pkg/server/bounds_log.go
@@ -0,0 +1,48 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/bounder"
+)
+
+// boundsLogInterval is the time between two log lines: callers outside the limits come in
+// crowds.
+const boundsLogInterval = time.Second
+
+// boundsLog counts and logs the connections that ended because of the bounds on heads and
+// connections.
+type boundsLog struct {
+	server                     *Server
+	lines, memory, connections atomic.Int64
+}
+
+func (l *boundsLog) count(cause bounder.Cause) {
+	l.server.countEvent("bounded_"+string(cause), 1)
+	switch cause {
+	case bounder.TooManyLines:
+		l.lines.Add(1)
+	case bounder.TooMuchMemory:
+		l.memory.Add(1)
+	case bounder.TooManyConnections:
+		l.connections.Add(1)
+	}
+}
+
+// Run implements Controller.
+func (l *boundsLog) Run(ctx context.Context) {
+	if l.server.bounds != nil {
+		l.server.runEvery(ctx, boundsLogInterval, func(context.Context) { l.step() })
+	}
+}
+
+func (l *boundsLog) step() {
+	lines, memory, connections := l.lines.Swap(0), l.memory.Swap(0), l.connections.Swap(0)
+	if lines+memory+connections == 0 {
+		return
+	}
+	open, bytes := l.server.bounds.Usage()
+	l.server.log.Warn("bounded", "lines", lines, "memory", memory, "connections", connections, "open", open, "bytes", bytes)
+}
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -22,10 +22,20 @@
 		{Name: "primrose_updates", Help: "Updates that this node still has to tell others, or keeps for members that become known.", Read: func() float64 { return float64(s.gossip.PendingUpdates()) }},
 		{Name: "primrose_suspects", Help: "Requests that ran at a crash of a target.", Read: func() float64 { suspects, _ := s.quarantine.Count(); return float64(suspects) }},
 		{Name: "primrose_barred", Help: "Requests that are refused, as they ran at more than one crash.", Read: func() float64 { _, barred := s.quarantine.Count(); return float64(barred) }},
+		{Name: "primrose_connections", Help: "Connections open at all listeners, where they are bounded.", Read: func() float64 { connections, _ := s.boundsUsage(); return float64(connections) }},
+		{Name: "primrose_head_bytes", Help: "Memory of heads and short bodies as counted for their bound.", Read: func() float64 { _, bytes := s.boundsUsage(); return float64(bytes) }},
 		{Name: "primrose_uptime_seconds", Help: "Time since the start.", Read: func() float64 { return s.clock.Now().Sub(s.started).Seconds() }},
 	}
 }
 
+// boundsUsage returns what is counted for the bounds on callers.
+func (s *Server) boundsUsage() (connections int, bytes int64) {
+	if s.bounds == nil {
+		return 0, 0
+	}
+	return s.bounds.Usage()
+}
+
 // replicaAge returns the seconds since the last contact with a replica, or -1
 // before the first.
 func (s *Server) replicaAge() float64 {
--- a/pkg/server/listeners.go
+++ b/pkg/server/listeners.go
@@ -43,8 +43,9 @@
 	return len(p), nil
 }
 
-// listen opens a socket for a handler; useTLS is for links between nodes.
-func (s *Server) listen(address string, handler http.Handler, useTLS bool) (*listener, error) {
+// listen opens a socket for a handler; useTLS is for links between nodes. refuse answers
+// requests that are refused before they reach the handler.
+func (s *Server) listen(address string, handler http.Handler, useTLS bool, refuse func(http.ResponseWriter, *forwarder.Refusal)) (*listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
@@ -58,7 +59,7 @@
 		server.MaxHeaderBytes += hopHeaderBytes
 		server.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){}
 	}
-	return &listener{server: server, socket: socket, useTLS: useTLS}, nil
+	return &listener{server: server, socket: s.boundListener(server, socket, useTLS, refuse), useTLS: useTLS}, nil
 }
 
 // peerHandler serves other nodes: control messages and hops to this node's
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/announcer"
 	"github.com/primrosewall/primrosewall/pkg/auditor"
+	"github.com/primrosewall/primrosewall/pkg/bounder"
 	"github.com/primrosewall/primrosewall/pkg/caller"
 	"github.com/primrosewall/primrosewall/pkg/configurer"
 	"github.com/primrosewall/primrosewall/pkg/connector"
@@ -106,6 +107,10 @@
 	forwarder    *forwarder.Forwarder
 	connector    *connector.Connector
 
+	// bounds are nil where the settings name none.
+	bounds    *bounder.Bounder
+	boundsLog *boundsLog
+
 	metrics  *expvar.Map
 	measurer *measurer.Measurer
 	// stopBegan is when the graceful stop began; stopping holds its other times and is
@@ -129,6 +134,10 @@
 		metrics: new(expvar.Map), sealer: sealer.Plain(),
 	}
 	s.traffic = &traffic{server: s}
+	s.boundsLog = &boundsLog{server: s}
+	if b := settings.CallerBounds(); b != (bounder.Limits{}) {
+		s.bounds = bounder.New(b, clock, s.evict)
+	}
 	s.quarantine = quarantiner.New(clock, &quarantineLog{s})
 	s.live.Store(settings)
 	s.measurer = measurer.New(s.gauges())
@@ -448,30 +457,29 @@
 // listenAll opens the listeners that the settings have addresses for, the one for
 // callers first.
 func (s *Server) listenAll() ([]*listener, error) {
-	specs := []struct {
+	type spec struct {
 		address string
 		handler http.Handler
 		useTLS  bool
-	}{
-		{s.settings.Listen, s.forwarder, false},
-		{s.settings.Peer, s.peerHandler(), !s.sealer.IsPlain()},
-		{s.settings.Admin, s.adminHandler(), false},
-		{s.settings.Ready, http.HandlerFunc(s.serveReady), false},
-		{s.settings.Metrics, s.measurer.Handler(), false},
+		refuse  func(http.ResponseWriter, *forwarder.Refusal)
+	}
+	own := forwarder.Native{}.Refuse
+	specs := []spec{
+		{s.settings.Listen, s.forwarder, false, s.iface.Dialect.Refuse},
+		{s.settings.Peer, s.peerHandler(), !s.sealer.IsPlain(), own},
+		{s.settings.Admin, s.adminHandler(), false, own},
+		{s.settings.Ready, http.HandlerFunc(s.serveReady), false, own},
+		{s.settings.Metrics, s.measurer.Handler(), false, own},
 	}
 	if s.iface.Control != nil {
-		specs = append(specs, struct {
-			address string
-			handler http.Handler
-			useTLS  bool
-		}{s.settings.Control, s.iface.Control(&controlBackend{s}), false})
+		specs = append(specs, spec{s.settings.Control, s.iface.Control(&controlBackend{s}), false, s.iface.Dialect.Refuse})
 	}
 	var listeners []*listener
 	for _, p := range specs {
 		if p.address == "" {
 			continue
 		}
-		l, err := s.listen(p.address, p.handler, p.useTLS)
+		l, err := s.listen(p.address, p.handler, p.useTLS, p.refuse)
 		if err != nil {
 			return nil, err
 		}
--- a/test/outside_limits_test.go
+++ b/test/outside_limits_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -213,3 +214,47 @@
 func TestSlowEmptyLines(t *testing.T) {
 	resists(t, crowdConnections, "\r\n", "\r\n", true)
 }
+
+// TestRequestsWithinLimitsAreServed guards against bounds that a single caller inside the
+// declared limits reaches: heads of 16 KiB, in one line and in as many lines as they can
+// have, that come within 3 s, and bodies of 64 MiB.
+func TestRequestsWithinLimitsAreServed(t *testing.T) {
+	const headBytes, bodyBytes = 16 << 10, 64 << 20
+	n := crowdNode(t)
+	for name, lines := range map[string]string{
+		"one line":    "Long: " + strings.Repeat("x", headBytes-len(crowdRequestLine)-12) + "\r\n",
+		"short lines": strings.Repeat("a:\n", (headBytes-len(crowdRequestLine)-2)/3),
+	} {
+		qt.Check(t, sendSlowly(t, n, crowdRequestLine+lines, "\r\n"), qt.Equals, http.StatusOK, qt.Commentf("%s", name))
+	}
+	r := n.send("POST", "/open/x", io.LimitReader(zeros{}, bodyBytes), nil)
+	qt.Check(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r.err))
+	qt.Check(t, sendSlowly(t, n, crowdRequestLine, "Slow: x\r\n", "\r\n"), qt.Equals, http.StatusOK)
+}
+
+// sendSlowly sends a request in pieces, with a second in between, and returns the status of
+// the answer.
+func sendSlowly(t *testing.T, n *node, pieces ...string) int {
+	conn, err := net.Dial("tcp", n.listen)
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	for i, piece := range pieces {
+		if i > 0 {
+			time.Sleep(time.Second)
+		}
+		_, err = io.WriteString(conn, piece)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	return response.StatusCode
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
