Answers that end early: never complete after a reset

A target answered a long upload at once with a 200 without a length, sent a part and reset the connection; the caller received the part as a complete answer. TestResetDuringUploadIsNoAnswer over two nodes on the former code: of 20 uploads 1 to 15 complete answers in the variants that end with the connection.

Cause: a reset that comes while the request is being written is reported to the write, which clears the error of the socket; the next read gets the end of the stream, as after an orderly end. The connector now asks for the state of the socket when only the end of the connection ends a body, and fails the read after a reset.

A caller of HTTP/1.0 had the same from its entry node, whatever the cause: an aborted answer without a length ended with an orderly close (20 of 20 in all five variants of TestBrokenAnswerToOldCaller, without this change). Its connection is now reset.

Ruled out: waiting for the result of the write (it may come after the read, and a write that waits for its caller never ends); stored answers of idempotency keys, which hold whole bodies only; the hop between nodes, which has a length or a last chunk; HEAD, 204 and 304, which have no body.

--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/primrosewall/primrosewall/pkg/dialer"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 )
@@ -216,6 +218,22 @@
 	return err == nil && quiet
 }
 
+// wasReset reports that the connection did not end in order. When a reset comes while a
+// request is being written, the write gets its error and the next read the end of the
+// stream, as after an orderly end; the state of the socket tells them apart.
+func (c *conn) wasReset() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := true
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err != nil || info.State == unix.BPF_TCP_CLOSE
+	})
+	return err != nil || reset
+}
+
 // notifyingWriter calls beforeWrite before each write to a connection.
 type notifyingWriter struct {
 	conn        net.Conn
@@ -339,11 +357,29 @@
 	response *http.Response
 	body     io.ReadCloser
 	done     bool
+	// err is the error of all further reads.
+	err error
+}
+
+// errReset is the error of a body that only the end of its connection could have ended.
+var errReset = errors.New("the connection was reset before the end of the answer")
+
+// endsWithConnection reports whether only the end of the connection ends the body.
+func (b *responseBody) endsWithConnection() bool {
+	r := b.response
+	return r.ContentLength < 0 && !chunked(r) && b.body != http.NoBody
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	if err == io.EOF && !b.done && b.endsWithConnection() && b.exchange.conn.wasReset() {
+		b.Close()
+		b.err = errReset
+	}
+	if b.err != nil {
+		return n, b.err
+	}
 	if err == io.EOF && !b.done {
 		b.done = true
 		b.exchange.release(b.response)
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -92,7 +92,7 @@
 // begun, it aborts the connection instead.
 func (x *Exchange) refuse(r *Refusal) {
 	if x.responseStarted {
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	x.responseStarted = true
 	if x.onRefusal != nil {
--- a/pkg/forwarder/target_answer.go
+++ b/pkg/forwarder/target_answer.go
@@ -76,13 +76,13 @@
 	x.writer.WriteHeader(a.status)
 	if a.stream == nil {
 		if _, err := x.writer.Write(a.body); err != nil && x.request.Method != http.MethodHead && statusAllowsBody(a.status) {
-			panic(http.ErrAbortHandler)
+			x.abortResponse()
 		}
 		return
 	}
 	defer a.stream.Close()
 	if err := copyBody(x.writer, a.stream, a.length < 0, a.abort); err != nil {
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	for name, values := range a.trailer() {
 		if !strings.HasPrefix(name, headerPrefix) {
@@ -91,6 +91,21 @@
 	}
 }
 
+// abortResponse ends a response that has begun and is not complete. net/http closes the
+// connection, which to a receiver of HTTP/1.0 would be the end of a complete body of unknown
+// length, so such a connection is reset.
+func (x *Exchange) abortResponse() {
+	if !x.request.ProtoAtLeast(1, 1) {
+		c, _, err := http.NewResponseController(x.writer).Hijack()
+		if l, ok := c.(interface{ SetLinger(int) error }); ok && err == nil {
+			// An error means that the connection has ended already.
+			_ = l.SetLinger(0)
+			c.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func statusAllowsBody(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified && status >= 200
 }
