Invalid statuses of targets: 502, unknown

A target's status 600 or 999 reached the caller as an answer (TestInvalidStatusIsNoAnswer failed for both). A status below 100 ended the handler of the target's node in a panic of net/http, so the entry node saw a broken connection. 101 was passed over as an interim answer.

A status below 200 or above 599 is now no answer of the target: the node refuses with 502, unknown, as for an answer that is not sound.

--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -287,7 +287,7 @@
 			return nil, err
 		}
 		x.conn.headerLimit.remaining = 1 << 62
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
 			if interim++; interim > maxInterimResponses {
 				return nil, errors.New("no final answer follows the interim ones")
 			}
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -52,7 +52,10 @@
 		return
 	}
 	faulter.Reach(faulter.HopAnswered)
-	verdict := f.deps.Dialect.Classify(response, delivery)
+	verdict := Invalid
+	if isFinalStatus(response.StatusCode) {
+		verdict = f.deps.Dialect.Classify(response, delivery)
+	}
 	if verdict == Valid || verdict == Declined {
 		f.recordStatement(x, response, inFlight.startedAt)
 	}
@@ -61,6 +64,11 @@
 	d.forwardResponse(x, inFlight, response, verdict, cancel, timer)
 }
 
+// isFinalStatus reports whether HTTP defines the class of a status as that of a final answer.
+func isFinalStatus(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
+
 // bodyGrace is how long after the deadline the body of an answer may end when
 // the answer began in time: the work is done, and the caller may still wait.
 const bodyGrace = time.Second
--- a/test/early_reset_test.go
+++ b/test/early_reset_test.go
@@ -145,3 +145,22 @@
 	}
 	_, _ = io.WriteString(c, goodAnswer)
 }
+
+// TestInvalidStatusIsNoAnswer guards against a status that HTTP does not define and that
+// reaches the caller as an answer.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	a := newBrokenTargetFleet(t, "tls", func(c net.Conn, path string) {
+		if status := strings.TrimPrefix(path, "/open/"); status != "good" {
+			_, _ = io.WriteString(c, strings.Replace(goodAnswer, "200", status, 1))
+			return
+		}
+		_, _ = io.WriteString(c, goodAnswer)
+	})
+	for _, status := range []string{"000", "099", "100", "101", "199", "600", "999"} {
+		r := a.send("POST", "/open/"+status, nil, nil)
+		qt.Check(t, r.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s: %v", status, r.err))
+		qt.Check(t, r.header.Get("Primrose-Outcome"), qt.Equals, "unknown", qt.Commentf("%s", status))
+		qt.Check(t, r.body, qt.Contains, `"lost"`, qt.Commentf("%s", status))
+	}
+	qt.Check(t, a.send("GET", "/open/good", nil, nil).status, qt.Equals, http.StatusOK)
+}
