primrose check: likely mistakes in a declaration before it is sent

Operators learn of a declaration's errors from plan, and of what is valid and cannot work from their callers: a route that an earlier one takes all requests of, a host with a port, an objective after the timeout, a team without keys, a burst below a tenth of a second of the rate, a service that no route leads to, times of callers that contradict each other or what nodes allow.

`primrose check FILE` prints the first error with its line, or all such findings, and the differences from the version in force. Exit code 4 says that something was found. pkg/checker is pure. The bounds that nodes have for every head moved to pkg/declarer, so that the check names the values in use. Differences are those of plan: data centres, teams and routes.

--- a/pkg/commander/verbs.go
+++ b/pkg/commander/verbs.go
@@ -16,6 +16,8 @@
 	exitUsage = 2
 	// exitConflict means that another operator's change came first.
 	exitConflict = 3
+	// exitFindings means that a declaration is valid and probably contains a mistake.
+	exitFindings = 4
 )
 
 // helpPage is the help of a verb.
@@ -36,6 +38,7 @@
 // own and a line here.
 func verbs() []verb {
 	return []verb{
+		{checkPage, runCheck},
 		{planPage, runPlan},
 		{confirmPage, runConfirm},
 		{statusPage, runStatus},
--- a/pkg/declarer/declarer.go
+++ b/pkg/declarer/declarer.go
@@ -27,6 +27,12 @@
 	DefaultTimeout = 10_000
 	// MaxTimeout bounds the timeout of a route, in milliseconds.
 	MaxTimeout = 3_600_000
+	// NodeHeader, in bytes, and NodeHead and NodeIdle, in milliseconds, are what nodes
+	// themselves allow for the headers of a request, the time to read them and the time
+	// between two requests, whatever Limits declares.
+	NodeHeader = 32 << 10
+	NodeHead   = 10_000
+	NodeIdle   = 75_000
 )
 
 // Declaration is everything that operators declare. The zero value is a valid
@@ -187,15 +193,21 @@
 
 // Parse reads a declaration and checks it.
 func Parse(file string, source []byte) (*Declaration, error) {
+	d, _, err := ParseDocument(file, source)
+	return d, err
+}
+
+// ParseDocument is like Parse, and also returns the document, which knows positions.
+func ParseDocument(file string, source []byte) (*Declaration, *decoder.Document, error) {
 	d := &Declaration{}
 	document, err := decoder.Decode(file, source, d)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := d.check(document); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return d, nil
+	return d, document, nil
 }
 
 // FieldError reports an invalid field of a declaration.
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/primrosewall/primrosewall/pkg/caller"
 	"github.com/primrosewall/primrosewall/pkg/configurer"
 	"github.com/primrosewall/primrosewall/pkg/connector"
+	"github.com/primrosewall/primrosewall/pkg/declarer"
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/fetcher"
@@ -41,11 +42,11 @@
 	// readyTimeout is how long it waits for them before it serves anyway.
 	readyTimeout = 3 * time.Second
 	// headerTimeout bounds the time to read the headers of a request.
-	headerTimeout = 10 * time.Second
+	headerTimeout = declarer.NodeHead * time.Millisecond
 	// idleTimeout is how long an idle connection stays open.
-	idleTimeout = 75 * time.Second
+	idleTimeout = declarer.NodeIdle * time.Millisecond
 	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 32 << 10
+	maxHeaderBytes = declarer.NodeHeader
 	// hopHeaderBytes is added to maxHeaderBytes on TLS links between nodes, for
 	// the headers that nodes add.
 	hopHeaderBytes = 4 << 10
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -185,7 +185,7 @@
 		verb, args = args[:2], args[1:]
 	}
 	all := append(verb, "-node", n.admin, "-as", "tester")
-	if verb[0] != "status" && verb[0] != "audit" && verb[0] != "show" && verb[0] != "replace" && (len(verb) < 2 || verb[1] != "withdraw") {
+	if verb[0] != "check" && verb[0] != "status" && verb[0] != "audit" && verb[0] != "show" && verb[0] != "replace" && (len(verb) < 2 || verb[1] != "withdraw") {
 		all = append(all, "-plans", f.path("plans"))
 	}
 	c := exec.Command(filepath.Join(programFolder, "primrose"), append(all, args[1:]...)...)
--- a/test/help_test.go
+++ b/test/help_test.go
@@ -18,7 +18,7 @@
 	var page strings.Builder
 	page.WriteString("# Verbs\n\nMade from the programs' help: go test ./test -run 'Verbs|Cases' -update\n")
 	for _, args := range [][]string{
-		{"primrosed", "-help"}, {"primrose", "help"}, {"primrose", "help", "plan"}, {"primrose", "help", "confirm"},
+		{"primrosed", "-help"}, {"primrose", "help"}, {"primrose", "help", "check"}, {"primrose", "help", "plan"}, {"primrose", "help", "confirm"},
 		{"primrose", "help", "status"}, {"primrose", "help", "audit"}, {"primrose", "help", "show"}, {"primrose", "help", "key"},
 		{"primrose", "help", "replace"}, {"primrose", "help", "target"}, {"primrose", "help", "trial"}, {"primrose", "help", "explain"},
 	} {
