--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -13,9 +13,11 @@
 	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/announcer"
 	"github.com/primrosewall/primrosewall/pkg/auditor"
+	"github.com/primrosewall/primrosewall/pkg/bounder"
 	"github.com/primrosewall/primrosewall/pkg/caller"
 	"github.com/primrosewall/primrosewall/pkg/configurer"
 	"github.com/primrosewall/primrosewall/pkg/connector"
+	"github.com/primrosewall/primrosewall/pkg/declarer"
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/fetcher"
@@ -41,11 +43,11 @@
 	// readyTimeout is how long it waits for them before it serves anyway.
 	readyTimeout = 3 * time.Second
 	// headerTimeout bounds the time to read the headers of a request.
-	headerTimeout = 10 * time.Second
+	headerTimeout = declarer.NodeHead * time.Millisecond
 	// idleTimeout is how long an idle connection stays open.
-	idleTimeout = 75 * time.Second
+	idleTimeout = declarer.NodeIdle * time.Millisecond
 	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 32 << 10
+	maxHeaderBytes = declarer.NodeHeader
 	// hopHeaderBytes is added to maxHeaderBytes on TLS links between nodes, for
 	// the headers that nodes add.
 	hopHeaderBytes = 4 << 10
@@ -111,6 +113,10 @@
 	// drains are the drains last applied. Only applyDrains uses it.
 	drains []*control.Drain
 
+	// bounds are nil where the settings name none.
+	bounds    *bounder.Bounder
+	boundsLog *boundsLog
+
 	metrics  *expvar.Map
 	measurer *measurer.Measurer
 	// stopBegan is when the graceful stop began; stopping holds its other times and is
@@ -134,6 +140,10 @@
 		metrics: new(expvar.Map), sealer: sealer.Plain(),
 	}
 	s.traffic = &traffic{server: s}
+	s.boundsLog = &boundsLog{server: s}
+	if b := settings.CallerBounds(); b != (bounder.Limits{}) {
+		s.bounds = bounder.New(b, clock, s.evict)
+	}
 	s.quarantine = quarantiner.New(clock, &quarantineLog{s})
 	s.live.Store(settings)
 	s.measurer = measurer.New(s.gauges())
@@ -470,30 +480,29 @@
 // listenAll opens the listeners that the settings have addresses for, the one for
 // callers first.
 func (s *Server) listenAll() ([]*listener, error) {
-	specs := []struct {
+	type spec struct {
 		address string
 		handler http.Handler
 		useTLS  bool
-	}{
-		{s.settings.Listen, s.forwarder, false},
-		{s.settings.Peer, s.peerHandler(), !s.sealer.IsPlain()},
-		{s.settings.Admin, s.adminHandler(), false},
-		{s.settings.Ready, http.HandlerFunc(s.serveReady), false},
-		{s.settings.Metrics, s.measurer.Handler(), false},
+		refuse  func(http.ResponseWriter, *forwarder.Refusal)
+	}
+	own := forwarder.Native{}.Refuse
+	specs := []spec{
+		{s.settings.Listen, s.forwarder, false, s.iface.Dialect.Refuse},
+		{s.settings.Peer, s.peerHandler(), !s.sealer.IsPlain(), own},
+		{s.settings.Admin, s.adminHandler(), false, own},
+		{s.settings.Ready, http.HandlerFunc(s.serveReady), false, own},
+		{s.settings.Metrics, s.measurer.Handler(), false, own},
 	}
 	if s.iface.Control != nil {
-		specs = append(specs, struct {
-			address string
-			handler http.Handler
-			useTLS  bool
-		}{s.settings.Control, s.iface.Control(&controlBackend{s}), false})
+		specs = append(specs, spec{s.settings.Control, s.iface.Control(&controlBackend{s}), false, s.iface.Dialect.Refuse})
 	}
 	var listeners []*listener
 	for _, p := range specs {
 		if p.address == "" {
 			continue
 		}
-		l, err := s.listen(p.address, p.handler, p.useTLS)
+		l, err := s.listen(p.address, p.handler, p.useTLS, p.refuse)
 		if err != nil {
 			return nil, err
 		}
