Cold targets: declaration, manifest and settings

A service's declaration may state how many requests a second a cold target handles (cold) and for how long a target is cold after a start (warmup); the settings cold and pace say whether nodes keep to it. Nothing uses them yet, and without them nothing changes.

--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -95,6 +95,11 @@
 	// Overage is what may be admitted beyond the limits of teams while the
 	// holders of these limits are unreachable.
 	Overage Overage `json:"overage"`
+	// Cold bounds the requests to cold targets.
+	Cold Cold `json:"cold"`
+	// Pace selects how fast requests begin at a target that has started or recovered:
+	// PaceFound, or empty for a fixed time after a start.
+	Pace string `json:"pace"`
 
 	secret []byte
 }
@@ -125,6 +130,24 @@
 	Slack float64 `json:"slack"`
 }
 
+// Cold bounds the requests that a cold target gets in any second. Ratio is relative to
+// the rate that the target's service declares, and Slack is added to it. A Ratio of 0
+// enforces no bound.
+type Cold struct {
+	Ratio float64 `json:"ratio"`
+	Slack float64 `json:"slack"`
+}
+
+const (
+	// maxColdRatio and maxColdSlack bound Cold: a target that bears more while it is
+	// cold needs no bound.
+	maxColdRatio = 100
+	maxColdSlack = 10_000
+)
+
+// PaceFound is the value of Settings.Pace for which the target's answers decide.
+const PaceFound = "found"
+
 // Duration is a duration in settings, such as "2s" or "1500ms".
 type Duration struct{ time.Duration }
 
@@ -284,6 +307,15 @@
 	if !slices.Contains([]string{RuleAIMD, RuleGradient, RuleStatic}, s.Rule) {
 		return d.Problem("rule", "is %q; aimd, gradient or static would be right", s.Rule)
 	}
+	if !(s.Cold.Ratio >= 0 && s.Cold.Ratio <= maxColdRatio) {
+		return d.Problem("cold/ratio", "is %v; 0 to %d would be right (0 enforces no bound)", s.Cold.Ratio, maxColdRatio)
+	}
+	if !(s.Cold.Slack >= 0 && s.Cold.Slack <= maxColdSlack) {
+		return d.Problem("cold/slack", "is %v; 0 to %d requests would be right", s.Cold.Slack, maxColdSlack)
+	}
+	if s.Pace != "" && s.Pace != PaceFound {
+		return d.Problem("pace", "is %q; %s, or nothing for a fixed time after a start, would be right", s.Pace, PaceFound)
+	}
 	if len(s.Seeds) == 0 && !slices.Contains(s.Replicas, s.Peer) {
 		return d.Problem("seeds", "is empty and peer is not among the replicas; name at least one peer address to join by")
 	}
@@ -312,7 +344,7 @@
 	next := *s
 	next.Seeds, next.Replicas = newer.Seeds, newer.Replicas
 	next.Grace, next.Drain, next.Contact = newer.Grace, newer.Drain, newer.Contact
-	next.Retry, next.Overage = newer.Retry, newer.Overage
+	next.Retry, next.Overage, next.Cold = newer.Retry, newer.Overage, newer.Cold
 	next.Target, next.Service = newer.Target, newer.Service
 	return &next
 }
--- a/pkg/declarer/declarer.go
+++ b/pkg/declarer/declarer.go
@@ -8,6 +8,8 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -27,6 +29,11 @@
 	DefaultTimeout = 10_000
 	// MaxTimeout bounds the timeout of a route, in milliseconds.
 	MaxTimeout = 3_600_000
+	// MaxCold bounds the rate of a cold target, in requests per second; the node beside
+	// a target keeps the time of each request of the last second.
+	MaxCold = 100_000
+	// MaxWarmup bounds how long a target is cold after a start, in milliseconds.
+	MaxWarmup = 3_600_000
 )
 
 // Declaration is everything that operators declare. The zero value is a valid
@@ -51,6 +58,11 @@
 	// Connections is how many connections one target accepts in total; 0 if
 	// unknown.
 	Connections int `json:"connections,omitempty"`
+	// Cold is how many requests per second a cold target can handle; 0 if not stated.
+	Cold float64 `json:"cold,omitempty"`
+	// Warmup is how long a target is cold after a start, in milliseconds; 0 if not
+	// stated. A target that reports how long it stays cold overrides it.
+	Warmup int64 `json:"warmup,omitempty"`
 }
 
 // Limits bound what callers may send; 0 selects the daemon's default.
@@ -243,9 +255,28 @@
 	if err := d.checkTeams(doc); err != nil {
 		return err
 	}
+	if err := d.checkServices(doc); err != nil {
+		return err
+	}
 	return d.checkRoutes(doc)
 }
 
+// checkServices checks the services in the order of their names. The comparison with
+// Cold is negated so that it rejects a value that is not a number.
+func (d *Declaration) checkServices(doc problemReporter) error {
+	for _, name := range slices.Sorted(maps.Keys(d.Services)) {
+		s := d.Services[name]
+		at := "services/" + name
+		if !(s.Cold >= 0 && s.Cold <= MaxCold) {
+			return doc.Problem(at+"/cold", "is %v; 0 to %d requests per second would be right (0 states nothing)", s.Cold, MaxCold)
+		}
+		if s.Warmup < 0 || s.Warmup > MaxWarmup {
+			return doc.Problem(at+"/warmup", "is %d; 0 to %d milliseconds would be right (0 states nothing)", s.Warmup, MaxWarmup)
+		}
+	}
+	return nil
+}
+
 func (d *Declaration) checkTeams(doc problemReporter) error {
 	keyOwners := map[string]string{}
 	for _, name := range d.TeamNames() {
