Cold targets: bound of requests beside the target

Callers saw refusals and lost answers while a target that had just started, or turned cold, got several times what it can handle and crashed: its node sent 0.6 of its slots at once, and only the first report of a life said how long it stays cold.

The node beside the target now counts the requests of the last 1.1 s, whether the target is warm or cold, and lets no more begin at a cold one than the rate of its service times the ratio of the settings, and the slack. 100 ms of the window are for the delay from the decision to the arrival. Every report that is taken says how long the target stays cold, by the node's own clock; without report and answer for 2.2 s it is cold until the next report, and before the first report of a life nothing begins. A request that another process answered as misdirected, or that was not sent, gives its place back. A node that starts does not know what its former process sent and waits for that to lapse. Requests wait, are ordered and refused as for a limit that the target states.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -46,14 +46,19 @@
 }
 
 // PacedError is the error for a request that was rejected because of the limit that
-// the target names.
+// the target names, or the bound of a cold target.
 type PacedError struct {
 	// Wait is the delay after which the request may be retried.
 	Wait time.Duration
+	// Cold is why the target counts as cold; pacer.Warm if it does not.
+	Cold pacer.ColdReason
 }
 
 // Error implements error.
 func (e *PacedError) Error() string {
+	if e.Cold != pacer.Warm {
+		return fmt.Sprintf("the target is cold (%s), come back in %v", e.Cold, e.Wait)
+	}
 	return fmt.Sprintf("the target's limit is used up, come back in %v", e.Wait)
 }
 
@@ -76,8 +81,11 @@
 	// that follows from it.
 	pacer      pacer.Pacer
 	pacedLevel level
-	// wakeup is set while a pacedDispatch is running.
-	wakeup bool
+	// cold keeps the bound of requests to a cold target.
+	cold pacer.Cold
+	// wakeupAt is when the earliest pacedDispatch that is running ends; zero without
+	// one.
+	wakeupAt time.Time
 	// costs are the mean times in the target by team, in seconds.
 	costs map[string]float64
 	// serviceSeconds is the mean time in the target over all teams.
@@ -119,6 +127,8 @@
 	admitter *Admitter
 	team     string
 	began    time.Time
+	// begunAt is when the request was counted as begun.
+	begunAt time.Time
 	// inflight is the number of requests in flight when this one began.
 	inflight int
 }
@@ -152,7 +162,7 @@
 func (a *Admitter) recordArrival(p Priority, now time.Time) {
 	a.advanceLevels(now)
 	a.level.recordArrival(p, float64(a.inflight+1)/float64(max(a.currentLimit(now), 1)))
-	a.pacedLevel.recordArrival(p, a.pacer.Utilization(now))
+	a.pacedLevel.recordArrival(p, a.paceUtilization(now))
 	a.pacer.RecordArrival(now)
 }
 
@@ -161,10 +171,10 @@
 	a.pacedLevel.advance(now, a.serviceTime())
 }
 
-// hasRoom reports whether a request may begin: there is a free slot, and the limit
-// that the target names is not used up.
+// hasRoom reports whether a request may begin: there is a free slot, and neither the
+// limit that the target names nor the bound of a cold target is used up.
 func (a *Admitter) hasRoom(now time.Time) bool {
-	return a.inflight < a.currentLimit(now) && a.pacer.Ready(now)
+	return a.inflight < a.currentLimit(now) && a.paceReady(now)
 }
 
 // enqueue adds the waiter to the queue. If the queue is then too long, enqueue
@@ -172,8 +182,8 @@
 func (a *Admitter) enqueue(w *waiter) error {
 	a.queue.push(w)
 	a.dispatch()
-	w.paced = !a.pacer.Ready(w.since)
-	w.expiresAt = w.since.Add(a.queueTimeout(w.paced))
+	w.paced = !a.paceReady(w.since)
+	w.expiresAt = w.since.Add(a.queueTimeout(w.paced, w.since))
 	if a.queue.size <= a.maxQueueLength(w.since) {
 		return nil
 	}
@@ -188,11 +198,11 @@
 }
 
 // reject records that a waiter is rejected for lack of capacity, and returns the error
-// for it.
+// for it. The target may have turned cold while it waited for a slot.
 func (a *Admitter) reject(w *waiter, now time.Time) error {
-	if w.paced {
+	if w.paced || !a.cold.Ready(now) {
 		a.pacedLevel.rejected = true
-		return &PacedError{Wait: a.pacer.Backoff(now)}
+		return a.pacedError(now)
 	}
 	a.level.rejected = true
 	return a.overloadError()
@@ -230,14 +240,14 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &Ticket{admitter: a, team: w.team, began: a.clock.Now(), inflight: a.inflight}, nil
+	return &Ticket{admitter: a, team: w.team, began: a.clock.Now(), begunAt: w.begunAt, inflight: a.inflight}, nil
 }
 
 // acquire takes a free slot.
 func (a *Admitter) acquire(team string, now time.Time) *Ticket {
 	a.inflight++
-	a.pacer.Begin(now)
-	return &Ticket{admitter: a, team: team, began: now, inflight: a.inflight}
+	a.paceBegin(now)
+	return &Ticket{admitter: a, team: team, began: now, begunAt: now, inflight: a.inflight}
 }
 
 // dispatch gives free slots to waiters.
@@ -249,7 +259,8 @@
 			return
 		}
 		a.inflight++
-		a.pacer.Begin(now)
+		a.paceBegin(now)
+		w.begunAt = now
 		if w.paced {
 			a.pacedLevel.recordWait(now.Sub(w.since))
 		} else {
@@ -257,17 +268,28 @@
 		}
 		w.result <- nil
 	}
-	if wait := a.pacer.Wait(now); wait > 0 && a.queue.size > 0 && !a.wakeup {
-		a.wakeup = true
-		d := &pacedDispatch{admitter: a, wait: wait}
-		go d.run()
+	if wait := a.paceWait(now); wait > 0 && a.queue.size > 0 {
+		a.scheduleDispatch(wait, now)
 	}
 }
 
-// pacedDispatch dispatches when the limit that the target names allows the next
-// request.
+// scheduleDispatch starts a pacedDispatch unless one ends no later: what keeps requests
+// from beginning may end earlier than it was expected to.
+func (a *Admitter) scheduleDispatch(wait time.Duration, now time.Time) {
+	at := now.Add(wait)
+	if !a.wakeupAt.IsZero() && !at.Before(a.wakeupAt) {
+		return
+	}
+	a.wakeupAt = at
+	d := &pacedDispatch{admitter: a, at: at, wait: wait}
+	go d.run()
+}
+
+// pacedDispatch dispatches when the limit that the target names, or the bound of a cold
+// target, allows the next request.
 type pacedDispatch struct {
 	admitter *Admitter
+	at       time.Time
 	wait     time.Duration
 }
 
@@ -276,7 +298,9 @@
 	<-a.clock.After(d.wait)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.wakeup = false
+	if a.wakeupAt.Equal(d.at) {
+		a.wakeupAt = time.Time{}
+	}
 	a.dispatch()
 }
 
@@ -291,10 +315,10 @@
 // requests may wait about as long as one runs, and a low limit is left to urgent
 // requests only if one of them may wait for the next that begins. The caller holds the
 // lock.
-func (a *Admitter) queueTimeout(paced bool) time.Duration {
+func (a *Admitter) queueTimeout(paced bool, now time.Time) time.Duration {
 	timeout := max(minQueueTimeout, a.serviceTime())
 	if paced {
-		return max(timeout, min(pacedIntervals*a.pacer.Interval(), maxPacedTimeout))
+		return max(timeout, min(pacedIntervals*a.paceInterval(now), maxPacedTimeout))
 	}
 	return timeout
 }
@@ -316,10 +340,11 @@
 
 func (a *Admitter) maxQueueLength(now time.Time) int {
 	length := max(minQueueLength, queueFactor*a.limit)
-	if a.pacer.Ready(now) {
+	if a.paceReady(now) {
 		return length
 	}
-	return min(length, a.pacer.Waiters(a.queueTimeout(true)))
+	// As many as may begin within the queue timeout.
+	return min(length, max(1, int(a.queueTimeout(true, now)/max(a.paceInterval(now), 1))))
 }
 
 // overloadError returns an *OverloadError whose delay is the estimated time that
@@ -372,14 +397,19 @@
 	// and PacedLevel the admission level that follows from that limit.
 	Paced      float64
 	PacedLevel Priority
+	// Cold is why the target counts as cold, and ColdLeft for how long if that is known.
+	Cold     pacer.ColdReason
+	ColdLeft time.Duration
 }
 
 // Load returns a snapshot.
 func (a *Admitter) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
+	reason, left := a.cold.Reason(now)
 	return Load{
 		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.threshold(),
-		Paced: a.pacer.Utilization(a.clock.Now()), PacedLevel: a.pacedLevel.threshold(),
+		Paced: a.paceUtilization(now), PacedLevel: a.pacedLevel.threshold(), Cold: reason, ColdLeft: left,
 	}
 }
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -9,8 +9,11 @@
 	since    time.Time
 	// expiresAt is when its queue timeout passes.
 	expiresAt time.Time
-	// paced is set if it had to wait for the limit that the target names.
+	// paced is set if it had to wait for the limit that the target names, or for the
+	// bound of a cold target.
 	paced bool
+	// begunAt is when it got its slot.
+	begunAt time.Time
 	// result receives nil when the request may run, or the error that rejects it.
 	result chan error
 }
--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -67,6 +67,18 @@
 	TargetCrashed(target *forwarder.Target)
 }
 
+// ColdObserver is told for how long the own target stays cold. Its methods are called
+// with the announcer locked, before requests can reach what they are about; they must
+// not call the announcer.
+type ColdObserver interface {
+	// TargetReported is called with each report that is taken, and with the first
+	// announcement of a life. stated says that the report itself states for how long the
+	// target stays cold, as all reports of such a target do.
+	TargetReported(service string, cold time.Duration, stated bool)
+	// TargetLost is called when the target no longer runs, or no longer reports.
+	TargetLost()
+}
+
 // Announcer tracks the own target through its lives.
 type Announcer struct {
 	clock    timekeeper.Clock
@@ -91,6 +103,8 @@
 	endedLife string
 	// departures are the lives that have left for good.
 	departures departures
+	// cold is told how long the target stays cold; it may be nil.
+	cold ColdObserver
 }
 
 // Report is an announcement in a fleet whose targets report at a fixed interval
@@ -109,6 +123,9 @@
 	Sequence    uint64
 	// TTL is how long the report stays valid if no other follows.
 	TTL time.Duration
+	// announced marks an announcement, which does not state for how long the target
+	// stays cold: Cold is that of its start.
+	announced bool
 }
 
 // Report accepts a report of the target. A report that states that the target leaves
@@ -122,7 +139,10 @@
 	}
 	if r.Leaving {
 		a.mu.Lock()
-		a.arbiter.take(r, a.clock.Now())
+		taken := a.arbiter.take(r, a.clock.Now())
+		if taken && a.target != nil && a.target.Life == r.Life {
+			a.observeCold(&r)
+		}
 		a.mu.Unlock()
 		a.Leave(r.Life, drain)
 		return nil
@@ -143,7 +163,7 @@
 	now := a.clock.Now()
 	left := a.departures.contain(r.Life, r.Target, now)
 	late := !left && !a.arbiter.take(r, now)
-	previous := a.target
+	rejoin := a.target == nil || a.target.Life != r.Life
 	crashed := r.Life == a.crashedLife
 	a.mu.Unlock()
 	if left {
@@ -156,7 +176,7 @@
 		a.probeCrashed(&r)
 		return nil
 	}
-	a.announce(r.Announcement, r.TTL, r.Cold, previous == nil || previous.Life != r.Life)
+	a.announce(&r, rejoin)
 	return nil
 }
 
@@ -278,6 +298,24 @@
 	Service, Address string
 }
 
+// SetColdObserver names who is told how long the target stays cold. It must be called
+// before the first announcement.
+func (a *Announcer) SetColdObserver(o ColdObserver) { a.cold = o }
+
+// observeLoss tells the observer that no target is left. The caller holds a.mu.
+func (a *Announcer) observeLoss() {
+	if a.cold != nil {
+		a.cold.TargetLost()
+	}
+}
+
+// observeCold tells the observer what a report states. The caller holds a.mu.
+func (a *Announcer) observeCold(r *Report) {
+	if a.cold != nil {
+		a.cold.TargetReported(r.Service, r.Cold, !r.announced)
+	}
+}
+
 // SetPlace makes the announcer ignore announcements of other targets than the one that
 // place returns.
 func (a *Announcer) SetPlace(place func() Place) { a.place = place }
@@ -315,6 +353,7 @@
 	overdue := a.target != nil && !a.leaving && a.clock.Now().After(a.expiresAt)
 	if overdue {
 		a.expired, a.target = a.target, nil
+		a.observeLoss()
 	}
 	a.mu.Unlock()
 	if overdue {
@@ -420,13 +459,18 @@
 	case late:
 		return a.ignore(ann, ReasonLate)
 	case crashed:
-		a.probeCrashed(&Report{Announcement: ann, Cold: defaultColdTime, TTL: leaseTTL})
+		a.probeCrashed(newAnnouncementReport(ann))
 		return nil
 	}
-	a.announce(ann, leaseTTL, defaultColdTime, false)
+	a.announce(newAnnouncementReport(ann), false)
 	return nil
 }
 
+// newAnnouncementReport returns the report that stands for an announcement.
+func newAnnouncementReport(ann Announcement) *Report {
+	return &Report{Announcement: ann, Cold: defaultColdTime, TTL: leaseTTL, announced: true}
+}
+
 // probeCrashed takes a report of a life that counts as crashed if its target listens.
 func (a *Announcer) probeCrashed(r *Report) {
 	p := &targetProbe{announcer: a, target: newTarget(r.Announcement), report: r}
@@ -436,7 +480,8 @@
 // announce sets or renews the target. If another life without a planned end
 // precedes it, that one has crashed. A life that is leaving keeps leaving unless
 // rejoin is set.
-func (a *Announcer) announce(ann Announcement, ttl, cold time.Duration, rejoin bool) {
+func (a *Announcer) announce(r *Report, rejoin bool) {
+	ann, cold := r.Announcement, r.Cold
 	a.mu.Lock()
 	if a.departures.lives[ann.Life] {
 		// It left while the announcement was checked.
@@ -445,7 +490,11 @@
 	}
 	old := a.target
 	next := newTarget(ann)
-	a.expiresAt = a.clock.Now().Add(ttl)
+	started := old == nil || old.Life != ann.Life
+	a.expiresAt = a.clock.Now().Add(r.TTL)
+	if started || !r.announced {
+		a.observeCold(r)
+	}
 	if old != nil && old.Life == ann.Life && a.leaving && !rejoin {
 		a.mu.Unlock()
 		return
@@ -454,7 +503,6 @@
 		a.mu.Unlock()
 		return
 	}
-	started := old == nil || old.Life != ann.Life
 	predecessor := old
 	if old == nil {
 		predecessor = a.expired
@@ -510,7 +558,7 @@
 		a.crashedLife = ""
 	}
 	a.mu.Unlock()
-	a.announce(r.Announcement, r.TTL, r.Cold, true)
+	a.announce(r, true)
 }
 
 // removeTarget removes a target that no longer runs. Without a planned end it
@@ -522,6 +570,7 @@
 	notify := current && !a.leaving
 	if current {
 		a.target = nil
+		a.observeLoss()
 	}
 	a.mu.Unlock()
 	if crashed {
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -38,6 +38,7 @@
 	// The request may have been quarantined while it waited for its slot.
 	if f.rejectQuarantined(x) {
 		inFlight.deliveryEnd = endNotSent
+		x.ticket.Release()
 		return
 	}
 	timer := time.AfterFunc(x.timeLeft(d.now())+x.allowance(), func() { cancel(errDeadlinePassed) })
@@ -53,8 +54,13 @@
 	}
 	faulter.Reach(faulter.HopAnswered)
 	verdict := f.deps.Dialect.Classify(response, delivery)
-	if verdict == Valid || verdict == Declined {
+	switch verdict {
+	case Valid, Declined:
+		x.ticket.RecordAnswer()
 		f.recordStatement(x, response, inFlight.startedAt)
+	case Misdirected:
+		// Another process has got the request, the target has not.
+		x.ticket.Release()
 	}
 	shed = verdict == Declined || routerResultOf(response.StatusCode) == router.Shed && !inFlight.hadFailedCall()
 	timer.Reset(x.timeLeft(d.now()) + x.allowance() + bodyGrace)
@@ -116,6 +122,9 @@
 	f.setStateHeaders(x, inFlight.callLevel())
 	var connectorErr *connector.Error
 	sent := !errors.As(err, &connectorErr) || connectorErr.Sent
+	if !sent {
+		x.ticket.Release()
+	}
 	switch {
 	case !sent && errors.Is(cause, errDeadlinePassed):
 		inFlight.deliveryEnd = endNotSent
--- a/pkg/forwarder/request_log.go
+++ b/pkg/forwarder/request_log.go
@@ -4,6 +4,8 @@
 	"encoding/hex"
 	"strconv"
 	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/pacer"
 )
 
 // logRefusal logs a request that the entry node rejected before it chose a
@@ -94,8 +96,15 @@
 	}, extra...)
 	if x.target != nil {
 		attrs = append(attrs, "life", x.target.Life)
-		if rate, limited := f.ownTarget.tracker.Current(x.target.Life).Limit(); limited {
-			attrs = append(attrs, "rate", rate, "used", load.Paced)
+		rate, limited := f.ownTarget.tracker.Current(x.target.Life).Limit()
+		if limited {
+			attrs = append(attrs, "rate", rate)
+		}
+		if load.Cold != pacer.Warm {
+			attrs = append(attrs, "cold", string(load.Cold))
+		}
+		if limited || load.Cold != pacer.Warm {
+			attrs = append(attrs, "used", load.Paced)
 		}
 	}
 	f.deps.Log.Info("hop", attrs...)
--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -100,12 +100,6 @@
 	return time.Duration(float64(time.Second) / max(p.rate, trialRate))
 }
 
-// Waiters returns how many requests may begin within a time, at least 1. It bounds the
-// queue.
-func (p *Pacer) Waiters(within time.Duration) int {
-	return max(1, int(p.rate*within.Seconds()))
-}
-
 // RecordArrival counts a request that wants to begin.
 func (p *Pacer) RecordArrival(now time.Time) {
 	p.decayDemand(now)
@@ -123,8 +117,12 @@
 // between two requests, times the number of requests that want to begin for each that
 // may. Senders that keep to it try a few times as often as requests may begin, however
 // many senders there are.
-func (p *Pacer) Backoff(now time.Time) time.Duration {
+func (p *Pacer) Backoff(now time.Time) time.Duration { return p.BackoffAt(p.rate, now) }
+
+// BackoffAt is Backoff for another rate, in requests a second, at which requests begin.
+func (p *Pacer) BackoffAt(rate float64, now time.Time) time.Duration {
 	p.decayDemand(now)
-	excess := max(1, p.demand/demandTime.Seconds()/p.rate)
-	return min(time.Duration(excess/p.rate*float64(time.Second)), maxBackoff)
+	rate = max(rate, trialRate)
+	excess := max(1, p.demand/demandTime.Seconds()/rate)
+	return min(time.Duration(excess/rate*float64(time.Second)), maxBackoff)
 }
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -31,6 +31,7 @@
 		s.announcer,
 		s.traffic,
 		&silenceLog{server: s},
+		&coldWatcher{server: s},
 	}
 	if s.folder != nil {
 		list = append(list, &joiner{s}, &acceptedReader{server: s}, &recordCopier{server: s}, &auditWriter{s}, &abstentionEnder{s})
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -18,6 +18,7 @@
 		{Name: "primrose_queued", Help: "Requests waiting for the own target.", Read: func() float64 { return float64(s.admitter.Load().Queued) }},
 		{Name: "primrose_level", Help: "Priority below which requests are better refused at their entry node.", Read: func() float64 { return float64(s.admitter.Load().Level) }},
 		{Name: "primrose_target_rate", Help: "Requests a second that the own target takes at most, as it states; -1 if it names no limit.", Read: s.targetRate},
+		{Name: "primrose_target_cold_limit", Help: "Requests that the own target may get in any second while it is cold; -1 if it is not.", Read: s.ownTargetColdLimit},
 		{Name: "primrose_target_connections", Help: "Connections made to targets since the start.", Read: func() float64 { return float64(s.connector.Dialed()) }},
 		{Name: "primrose_updates", Help: "Updates that this node still has to tell others, or keeps for members that become known.", Read: func() float64 { return float64(s.gossip.PendingUpdates()) }},
 		{Name: "primrose_suspects", Help: "Requests that ran at a crash of a target.", Read: func() float64 { suspects, _ := s.quarantine.Count(); return float64(suspects) }},
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -244,6 +244,7 @@
 func (s *Server) Reload(newer *configurer.Settings) {
 	s.live.Store(s.settings.Reload(newer))
 	s.gossip.SetSeeds(s.seeds())
+	s.applyColdBound()
 	s.log.Info("reload", "seeds", s.seeds(), "grace", newer.Grace.Duration, "drain", newer.Drain.Duration)
 }
 
@@ -275,6 +276,9 @@
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 	s.announcer.SetPlace(s.place)
+	s.announcer.SetColdObserver(&ownCold{s})
+	s.applyColdBound()
+	s.config.Subscribe(func(*enforcer.Config) { s.applyColdBound() })
 }
 
 // plainPeerConnector makes the connector for requests without a body to other
@@ -365,7 +369,7 @@
 		e.Service, e.Slots, e.Cold = "", 0, 0
 		if t != nil && s.stopping.Load() == nil {
 			e.Service, e.Slots, e.Life = t.Service, uint32(t.Slots), t.Life
-			e.Cold = uint32(max(cold, 0).Milliseconds())
+			e.Cold = uint32(max(cold, s.coldLeft(), 0).Milliseconds())
 		}
 	})
 }
