Cold targets: other nodes are told

Entry nodes learned that a target was cold only from a refusal, one request at a time, and went on sending it their part.

The target's node says with each answer and each refusal for how long its target stays cold (Primrose-Cold, beside Primrose-Load, of which the part in use of the bound is one), and puts it into its gossip entry when that changes by more than 0.3 s; the node that reports every 1.5 s would otherwise fill the updates. The load of a cold target is the part of the bound in use and not 1 between two evenly spaced requests, since its spare rate would be left idle.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -402,6 +402,18 @@
 	ColdLeft time.Duration
 }
 
+// coldUntilReport stands for a time that ends with the next report of the target, which
+// comes every 1.5 s.
+const coldUntilReport = 2 * time.Second
+
+// ColdTime returns for how long the target is likely to stay cold.
+func (l Load) ColdTime() time.Duration {
+	if l.Cold != pacer.Warm && l.ColdLeft == 0 {
+		return coldUntilReport
+	}
+	return l.ColdLeft
+}
+
 // Load returns a snapshot.
 func (a *Admitter) Load() Load {
 	a.mu.Lock()
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -39,14 +39,16 @@
 	// the same idempotency key.
 	HeaderReplay = "Primrose-Replay"
 
-	// headerHop, headerRetries, headerLevel, headerLoad and headerLife are used only
-	// between nodes. headerLife says which life of the target HeaderLimit and
-	// HeaderLeaving are about.
+	// headerHop, headerRetries, headerLevel, headerLoad, headerLife and headerCold are
+	// used only between nodes. headerLife says which life of the target HeaderLimit and
+	// HeaderLeaving are about, and headerCold for how many milliseconds the target stays
+	// cold.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
 	headerLoad    = "Primrose-Load"
 	headerLife    = "Primrose-Life"
+	headerCold    = "Primrose-Cold"
 
 	// headerTeam names the team of a request to the target.
 	headerTeam = "Primrose-Team"
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -342,6 +342,7 @@
 		f.deps.Router.RecordLoad(a.target.Instance, float64(load)/100)
 	}
 	a.recordPeerStatement(x, r.Header)
+	a.recordPeerCold(r.Header)
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
 		refusal := readRefusal(r, NotRun)
--- a/pkg/forwarder/target_state.go
+++ b/pkg/forwarder/target_state.go
@@ -150,9 +150,29 @@
 	h := x.writer.Header()
 	h.Set(headerLevel, strconv.FormatUint(uint64(max(load.Level, callLevel)), 10))
 	h.Set(headerLoad, strconv.Itoa(loadPercent(load)))
+	if load.Cold != pacer.Warm {
+		h.Set(headerCold, strconv.FormatInt(ceilMilliseconds(load.ColdTime()), 10))
+	}
 	setStatementHeaders(h, x.target.Life, f.ownTarget.tracker.Current(x.target.Life))
 }
 
+// recordPeerCold takes for how long the target's node says that its target stays cold. A
+// message that tells the load and no such time ends the one that is known.
+func (a *attempt) recordPeerCold(h http.Header) {
+	if h.Get(headerLoad) == "" {
+		return
+	}
+	ms, err := strconv.ParseUint(h.Get(headerCold), 10, 32)
+	if err != nil {
+		ms = 0
+	}
+	a.filter.forwarder.deps.Router.RecordCold(a.target.Instance, min(time.Duration(ms)*time.Millisecond, maxPeerCold))
+}
+
+// maxPeerCold bounds for how long an entry node takes a target for cold without another
+// word of its node.
+const maxPeerCold = 10 * time.Second
+
 // recordPeerStatement takes what the target's node passes on about its target. A
 // message that tells the load and no statement ends the limit that is known.
 func (a *attempt) recordPeerStatement(x *Exchange, h http.Header) {
--- a/pkg/pacer/cold.go
+++ b/pkg/pacer/cold.go
@@ -203,14 +203,14 @@
 	}
 }
 
-// Utilization returns the part of the bound that is in use: 1 if no request may begin,
-// 0 if the target is warm.
+// Utilization returns the part of the bound that is in use: 1 for a life that has not
+// reported, 0 if the target is warm.
 func (c *Cold) Utilization(now time.Time) float64 {
 	reason, _ := c.Reason(now)
 	switch {
 	case reason == Warm:
 		return 0
-	case c.Wait(now) > 0:
+	case reason == ColdUnknown:
 		return 1
 	}
 	return math.Min(1, float64(c.window.count(now))/float64(max(c.bound.Requests(), 1)))
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -101,6 +101,7 @@
 	leavingLife string
 	// pausedUntil is when the target may next have room in the limit that it names.
 	pausedUntil time.Time
+	cold        coldState
 }
 
 // Router chooses targets. The caller passes the members with each choice, so the
@@ -119,6 +120,8 @@
 	services map[string]*candidates
 	// silences holds the silence of the other data centres by name.
 	silences map[string]*silence
+	// readsCold is set by UseCold.
+	readsCold bool
 }
 
 // New returns a router for the node of an instance in a data centre.
@@ -153,6 +156,8 @@
 	}
 	c.local, c.remote = r.subset(c.local), r.subset(c.remote)
 	r.services[service] = c
+	r.readCold(c.local)
+	r.readCold(c.remote)
 	return c
 }
 
@@ -265,6 +270,9 @@
 	if now.Sub(s.lastShed) < minEjection/10 {
 		score *= 4
 	}
+	if s.isCold(now) {
+		score *= coldPenalty
+	}
 	if e.State == control.State_STATE_SUSPECT {
 		score *= 8
 	}
--- a/pkg/router/statements.go
+++ b/pkg/router/statements.go
@@ -19,10 +19,11 @@
 	}
 }
 
-// isPaused reports whether the target has no room in the limit that it names, as far
-// as this node knows.
+// isPaused reports whether the target has no room in the limit that it names, or in the
+// bound of a cold one, as far as this node knows.
 func (r *Router) isPaused(e *control.Entry, now time.Time) bool {
-	return now.Before(r.targetStats(e).pausedUntil)
+	s := r.targetStats(e)
+	return now.Before(s.pausedUntil) || s.isCold(now) && s.load >= 1 && now.Sub(s.loadReported) < loadTTL
 }
 
 // HasUntried reports whether a usable target among the members of a service has not
--- a/pkg/server/cold_target.go
+++ b/pkg/server/cold_target.go
@@ -14,9 +14,6 @@
 	// coldCheckInterval is how often a node checks whether its target turned cold, or is
 	// no longer, to log it and tell other nodes.
 	coldCheckInterval = 100 * time.Millisecond
-	// coldUntilReport is for how long other nodes are told that a target is cold whose
-	// next report ends it: targets report every 1.5 s.
-	coldUntilReport = 2 * time.Second
 	// coldTellMargin is how much later than told the end must be to be told again. The
 	// end in each report differs by the delay of that report.
 	coldTellMargin = 300 * time.Millisecond
@@ -64,11 +61,7 @@
 // coldLeft returns for how long other nodes may take the own target for cold under the
 // bound; 0 if it is warm or no bound is in force.
 func (s *Server) coldLeft() time.Duration {
-	reason, left := s.admitter.Cold()
-	if reason != pacer.Warm && left == 0 {
-		return coldUntilReport
-	}
-	return left
+	return s.admitter.Load().ColdTime()
 }
 
 // enforcesColdBound reports whether the settings bound the requests to cold targets.
@@ -95,7 +88,8 @@
 	}
 	s.applyColdBound()
 	target := s.announcer.Target()
-	reason, left := s.admitter.Cold()
+	load := s.admitter.Load()
+	reason, left := load.Cold, load.ColdTime()
 	if target == nil {
 		reason, left = pacer.Warm, 0
 	}
@@ -117,9 +111,6 @@
 // other nodes know it.
 func (w *coldWatcher) tell(cold bool, left time.Duration) {
 	now := w.server.clock.Now()
-	if cold && left == 0 {
-		left = coldUntilReport
-	}
 	until := now.Add(left)
 	switch {
 	case cold && until.Sub(w.toldUntil) < coldTellMargin:
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -257,6 +257,9 @@
 		return v.Epoch, v.Replicas
 	}, randomID)
 	s.router = router.New(s.clock, s.settings.Instance, s.settings.Centre, newRandom())
+	if enforcesColdBound(s.settings) {
+		s.router.UseCold()
+	}
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
 		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, CountEvent: s.countEvent, Observer: s.measurer,
