Pace: answers decide how much a started target gets

A target that had started got 0.6 of its slots at once, which is too much for one that is several times slower then, and its full share from each router only after a fixed 3 s, which leaves one idle that is not.

With the setting pace, the node beside a target begins with a quarter of its slots after a start, a gap in its reports, or three requests in a row without an answer. After each interval, as long as the best mean time seen, it doubles the number when answers come within 1.5 times that, halves it above 2.5 times or when more than 0.3 are refused, for 5 s at most. Routers then don't ramp. Requests that are rejected meanwhile are paced: they pause the target at their entry node and raise no level, since other targets may have room.

The mean of an interval counts the time of requests that still run. Recovery at refusals: a target that refuses 0.55 of its requests would be held back all the time.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -46,12 +46,14 @@
 }
 
 // PacedError is the error for a request that was rejected because of the limit that
-// the target names, or the bound of a cold target.
+// the target names, of the bound of a cold target, or of a target that is held back.
 type PacedError struct {
 	// Wait is the delay after which the request may be retried.
 	Wait time.Duration
 	// Cold is why the target counts as cold; pacer.Warm if it does not.
 	Cold pacer.ColdReason
+	// Held says that the target is held back after a start or a recovery.
+	Held bool
 }
 
 // Error implements error.
@@ -59,6 +61,9 @@
 	if e.Cold != pacer.Warm {
 		return fmt.Sprintf("the target is cold (%s), come back in %v", e.Cold, e.Wait)
 	}
+	if e.Held {
+		return fmt.Sprintf("the target has started or recovered and is held back, come back in %v", e.Wait)
+	}
 	return fmt.Sprintf("the target's limit is used up, come back in %v", e.Wait)
 }
 
@@ -83,6 +88,10 @@
 	pacedLevel level
 	// cold keeps the bound of requests to a cold target.
 	cold pacer.Cold
+	// foundPace is set by UseFoundPace; ramp then holds back a target that has started or
+	// recovered.
+	foundPace bool
+	ramp      pacer.Ramp
 	// wakeupAt is when the earliest pacedDispatch that is running ends; zero without
 	// one.
 	wakeupAt time.Time
@@ -107,6 +116,7 @@
 	if warmup >= 0 {
 		a.warmupStart, a.warmupTime = a.clock.Now(), warmup
 		a.limit = initialLimit(a.algorithm, slots)
+		a.ramp.Begin(slots, a.clock.Now())
 	}
 	a.dispatch()
 }
@@ -131,6 +141,9 @@
 	begunAt time.Time
 	// inflight is the number of requests in flight when this one began.
 	inflight int
+	// answered and failed say whether the target has answered, or has not; neither if
+	// nobody knows.
+	answered, failed bool
 }
 
 // Admit waits for a slot, at most for the queue timeout. It returns an
@@ -182,7 +195,7 @@
 func (a *Admitter) enqueue(w *waiter) error {
 	a.queue.push(w)
 	a.dispatch()
-	w.paced = !a.paceReady(w.since)
+	w.paced = !a.paceReady(w.since) || a.isHeldBack(w.since)
 	w.expiresAt = w.since.Add(a.queueTimeout(w.paced, w.since))
 	if a.queue.size <= a.maxQueueLength(w.since) {
 		return nil
@@ -245,8 +258,8 @@
 
 // acquire takes a free slot.
 func (a *Admitter) acquire(team string, now time.Time) *Ticket {
-	a.inflight++
 	a.paceBegin(now)
+	a.inflight++
 	return &Ticket{admitter: a, team: team, began: now, begunAt: now, inflight: a.inflight}
 }
 
@@ -258,8 +271,8 @@
 		if w == nil {
 			return
 		}
-		a.inflight++
 		a.paceBegin(now)
+		a.inflight++
 		w.begunAt = now
 		if w.paced {
 			a.pacedLevel.recordWait(now.Sub(w.since))
@@ -328,8 +341,12 @@
 	return time.Duration(a.serviceSeconds * float64(time.Second))
 }
 
-// currentLimit returns the limit, which grows linearly during the warm-up.
+// currentLimit returns the limit, which grows linearly during the warm-up, or as the
+// target's answers show.
 func (a *Admitter) currentLimit(now time.Time) int {
+	if a.foundPace {
+		return a.ramp.Limit(a.limit, now)
+	}
 	age := now.Sub(a.warmupStart)
 	if age >= a.warmupTime {
 		return a.limit
@@ -339,7 +356,7 @@
 }
 
 func (a *Admitter) maxQueueLength(now time.Time) int {
-	length := max(minQueueLength, queueFactor*a.limit)
+	length := max(minQueueLength, queueFactor*a.effectiveLimit(now))
 	if a.paceReady(now) {
 		return length
 	}
@@ -371,6 +388,7 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	elapsed := now.Sub(t.began)
+	a.recordPace(t, elapsed, callTime, shed, now)
 	a.inflight--
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
@@ -397,6 +415,8 @@
 	// and PacedLevel the admission level that follows from that limit.
 	Paced      float64
 	PacedLevel Priority
+	// Held says that the target is held back until its answers allow all its slots.
+	Held bool
 	// Cold is why the target counts as cold, and ColdLeft for how long if that is known.
 	Cold     pacer.ColdReason
 	ColdLeft time.Duration
@@ -421,7 +441,8 @@
 	now := a.clock.Now()
 	reason, left := a.cold.Reason(now)
 	return Load{
-		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.level.threshold(),
+		Slots: a.slots, Limit: a.effectiveLimit(now), Inflight: a.inflight, Queued: a.queue.size, Level: a.level.threshold(),
 		Paced: a.paceUtilization(now), PacedLevel: a.pacedLevel.threshold(), Cold: reason, ColdLeft: left,
+		Held: a.foundPace && a.ramp.Active(now),
 	}
 }
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -9,8 +9,8 @@
 	since    time.Time
 	// expiresAt is when its queue timeout passes.
 	expiresAt time.Time
-	// paced is set if it had to wait for the limit that the target names, or for the
-	// bound of a cold target.
+	// paced is set if it had to wait for the limit that the target names, for the bound
+	// of a cold target, or for a target that is held back.
 	paced bool
 	// begunAt is when it got its slot.
 	begunAt time.Time
--- a/pkg/admitter/target_pace.go
+++ b/pkg/admitter/target_pace.go
@@ -19,7 +19,11 @@
 func (a *Admitter) ReportCold(cold time.Duration, periodic bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.cold.Report(cold, periodic, a.clock.Now())
+	now := a.clock.Now()
+	if a.cold.Doubted(now) {
+		a.ramp.Begin(a.slots, now)
+	}
+	a.cold.Report(cold, periodic, now)
 	a.dispatch()
 }
 
@@ -71,8 +75,9 @@
 	return max(a.pacer.Interval(), a.cold.Interval(now))
 }
 
-// paceBegin counts a request that begins.
+// paceBegin counts a request that begins. It does not count as running yet.
 func (a *Admitter) paceBegin(now time.Time) {
+	a.ramp.Advance(a.inflight, now)
 	a.pacer.Begin(now)
 	a.cold.Begin(now)
 }
@@ -81,16 +86,59 @@
 // no earlier than a request may begin.
 func (a *Admitter) pacedError(now time.Time) error {
 	reason, _ := a.cold.Reason(now)
-	if reason == pacer.Warm {
+	switch {
+	case reason != pacer.Warm:
+	case a.pacer.Limited() || !a.foundPace:
 		return &PacedError{Wait: a.pacer.Backoff(now)}
+	default:
+		return &PacedError{Wait: max(minQueueTimeout, a.serviceTime()), Held: true}
 	}
 	rate := float64(time.Second) / float64(a.paceInterval(now))
 	return &PacedError{Wait: max(a.pacer.BackoffAt(rate, now), a.cold.Wait(now)), Cold: reason}
 }
 
+// UseFoundPace makes the answers of a target that has started or recovered decide how
+// many requests may run there. It must be called before the first request.
+func (a *Admitter) UseFoundPace() { a.foundPace = true }
+
+// effectiveLimit returns the limit as other nodes should see it. For a fixed warm-up it
+// is the one after that.
+func (a *Admitter) effectiveLimit(now time.Time) int {
+	if a.foundPace {
+		return a.currentLimit(now)
+	}
+	return a.limit
+}
+
+// isHeldBack reports whether only its answers after a start or a recovery keep a request
+// from beginning at the target. Other targets may have room, so its rejections must not
+// make entry nodes shed.
+func (a *Admitter) isHeldBack(now time.Time) bool {
+	return a.foundPace && a.ramp.Active(now) && a.inflight >= a.currentLimit(now) && a.inflight < a.limit
+}
+
+// recordPace takes a request that ended, for the number of requests that may run. The
+// request still counts as running.
+func (a *Admitter) recordPace(t *Ticket, took, calls time.Duration, refused bool, now time.Time) {
+	a.ramp.Advance(a.inflight, now)
+	switch {
+	case !a.foundPace:
+	case t.answered:
+		reason, _ := a.cold.Reason(now)
+		a.ramp.RecordAnswer(pacer.Answer{Took: took, Calls: min(calls, took), Refused: refused}, reason != pacer.Warm, now)
+	case t.failed:
+		a.ramp.RecordFailure(a.slots, now)
+	}
+}
+
+// RecordFailure records that the target has not answered the request: it could not be
+// reached, its connection broke, or the deadline passed. It must precede Done.
+func (t *Ticket) RecordFailure() { t.failed = true }
+
 // RecordAnswer records that the target has answered the request, as opposed to another
-// process or nobody.
+// process or nobody. It must precede Done.
 func (t *Ticket) RecordAnswer() {
+	t.answered = true
 	a := t.admitter
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/pacer/cold.go
+++ b/pkg/pacer/cold.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// Doubted reports whether the target was out of sight, for lack of reports or requests,
+// so that it may not be what it was.
+func (c *Cold) Doubted(now time.Time) bool {
+	c.checkGap(now)
+	return c.reported && c.doubt != Warm
+}
+
 // Reason returns why the target counts as cold, and for how long if that is known;
 // otherwise it is until the next report. Without a bound the target counts as warm.
 func (c *Cold) Reason(now time.Time) (reason ColdReason, left time.Duration) {
--- a/pkg/router/cold.go
+++ b/pkg/router/cold.go
@@ -32,6 +32,11 @@
 // since nodes without a bound for cold targets never take back what they tell at a start.
 func (r *Router) UseCold() { r.readsCold = true }
 
+// UseTargetPace makes the router give a new or returning target its full share at once,
+// since the target's own node holds requests back. It must be called before the first
+// choice.
+func (r *Router) UseTargetPace() { r.targetPace = true }
+
 // readCold reads from new gossip entries of candidates how long their targets stay cold.
 func (r *Router) readCold(members []*control.Entry) {
 	if !r.readsCold {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -122,6 +122,8 @@
 	silences map[string]*silence
 	// readsCold is set by UseCold.
 	readsCold bool
+	// targetPace is set by UseTargetPace.
+	targetPace bool
 }
 
 // New returns a router for the node of an instance in a data centre.
@@ -265,7 +267,10 @@
 // suspected to be down.
 func (r *Router) score(e *control.Entry, now time.Time) float64 {
 	s := r.targetStats(e)
-	share := warmupShare + (1-warmupShare)*math.Min(1, now.Sub(s.warmupStart).Seconds()/warmupTime.Seconds())
+	share := 1.0
+	if !r.targetPace {
+		share = warmupShare + (1-warmupShare)*math.Min(1, now.Sub(s.warmupStart).Seconds()/warmupTime.Seconds())
+	}
 	score := (float64(s.inflight) + 1) * (s.latency.mean + 0.001) / share
 	if now.Sub(s.lastShed) < minEjection/10 {
 		score *= 4
--- a/pkg/server/cold_target.go
+++ b/pkg/server/cold_target.go
@@ -6,6 +6,7 @@
 
 	"github.com/primrosewall/primrosewall/pkg/configurer"
 	"github.com/primrosewall/primrosewall/pkg/declarer"
+	"github.com/primrosewall/primrosewall/pkg/forwarder"
 	"github.com/primrosewall/primrosewall/pkg/pacer"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -72,6 +73,8 @@
 	server *Server
 	// reason is that of the last step.
 	reason pacer.ColdReason
+	// held says whether the target was held back at the last step.
+	held bool
 	// toldUntil is until when other nodes take the target for cold.
 	toldUntil time.Time
 }
@@ -83,11 +86,12 @@
 
 func (w *coldWatcher) step() {
 	s := w.server
+	target := s.announcer.Target()
+	w.logHeld(target)
 	if !enforcesColdBound(s.live.Load()) && w.reason == pacer.Warm {
 		return
 	}
 	s.applyColdBound()
-	target := s.announcer.Target()
 	load := s.admitter.Load()
 	reason, left := load.Cold, load.ColdTime()
 	if target == nil {
@@ -95,18 +99,31 @@
 	}
 	if reason != w.reason {
 		bound := s.coldBound(s.ownService())
-		life := ""
-		if target != nil {
-			life = target.Life
-		}
 		w.reason = reason
 		s.countEvent("target_cold", 1)
-		s.log.Info("target_cold", "life", life, "cold", reason != pacer.Warm, "why", string(reason), "left", left,
+		s.log.Info("target_cold", "life", lifeOf(target), "cold", reason != pacer.Warm, "why", string(reason), "left", left,
 			"rate", bound.Rate, "allowed", bound.Requests())
 	}
 	w.tell(reason != pacer.Warm, left)
 }
 
+// logHeld logs when the target begins to be held back by its answers, and when that
+// ends.
+func (w *coldWatcher) logHeld(target *forwarder.Target) {
+	load := w.server.admitter.Load()
+	if held := load.Held && target != nil; held != w.held {
+		w.held = held
+		w.server.log.Info("target_pace", "life", lifeOf(target), "held", held, "limit", load.Limit, "slots", load.Slots)
+	}
+}
+
+func lifeOf(t *forwarder.Target) string {
+	if t == nil {
+		return ""
+	}
+	return t.Life
+}
+
 // tell puts into this node's gossip entry for how long the target stays cold, unless
 // other nodes know it.
 func (w *coldWatcher) tell(cold bool, left time.Duration) {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -260,6 +260,10 @@
 	if enforcesColdBound(s.settings) {
 		s.router.UseCold()
 	}
+	if s.settings.Pace == configurer.PaceFound {
+		s.admitter.UseFoundPace()
+		s.router.UseTargetPace()
+	}
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
 		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, CountEvent: s.countEvent, Observer: s.measurer,
