Cold targets: late deliveries are refused

They are refused as not run now and give their places back.

Ruled out: a reserve of one request of the bound, which costs 6 of 100 all the time and covers one late request only.

--- a/pkg/admitter/cold_target_test.go
+++ b/pkg/admitter/cold_target_test.go
@@ -166,3 +166,27 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestSuspendedNodeDeliversTogether guards against requests that began before the process
+// was suspended and reach a cold target together with later ones.
+func TestSuspendedNodeDeliversTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newColdAdmitter()
+		a.SetColdBound(pacer.ColdBound{Rate: 1, Ratio: 1})
+		a.ReportCold(time.Minute, true)
+		ticket, err := a.Admit(context.Background(), "team", 0)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(pacer.DeliveryMargin)
+		qt.Check(t, ticket.CheckDelay(), qt.IsNil)
+		time.Sleep(time.Millisecond)
+		var paced *admitter.PacedError
+		qt.Assert(t, errors.As(ticket.CheckDelay(), &paced), qt.IsTrue)
+		ticket.Done(0, false)
+		// Its place is free.
+		_, err = a.Admit(context.Background(), "team", 0)
+		qt.Check(t, err, qt.IsNil)
+		a.ReportCold(0, true)
+		qt.Check(t, ticket.CheckDelay(), qt.IsNil)
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/pkg/admitter/found_pace_test.go
+++ b/pkg/admitter/found_pace_test.go
@@ -206,3 +206,21 @@
 		})
 	}
 }
+
+// TestGapBeginsLow guards against a target that was out of sight, without reports and
+// answers, and gets all its slots with its next report.
+func TestGapBeginsLow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStartedTarget(1)
+		s.admitter.ReportCold(0, true)
+		s.load(600, 2*time.Second)
+		s.admitter.ReportCold(0, true)
+		qt.Assert(t, s.admitter.Load().Limit > 90, qt.IsTrue)
+		time.Sleep(2 * time.Second)
+		s.admitter.ReportCold(0, true)
+		qt.Assert(t, s.admitter.Load().Limit > 90, qt.IsTrue)
+		time.Sleep(3 * time.Second)
+		s.admitter.ReportCold(0, true)
+		qt.Check(t, s.admitter.Load().Limit, qt.Equals, startedSlots/4)
+	})
+}
--- a/pkg/admitter/target_pace.go
+++ b/pkg/admitter/target_pace.go
@@ -145,6 +145,22 @@
 	a.cold.RecordAnswer(a.clock.Now())
 }
 
+// CheckDelay returns a *PacedError if the target is cold and more than the bound of cold
+// targets tolerates has passed since the request began: it would arrive together with
+// later ones. Load answered: the process is suspended and goes on with requests on
+// their way. The request gives its place back and must not be sent.
+func (t *Ticket) CheckDelay() error {
+	a := t.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	if reason, _ := a.cold.Reason(now); reason == pacer.Warm || now.Sub(t.begunAt) <= pacer.DeliveryMargin {
+		return nil
+	}
+	a.cold.Release(t.begunAt)
+	return a.pacedError(now)
+}
+
 // Release gives back the place that the request took under the bound of a cold target,
 // since the target has not got it.
 func (t *Ticket) Release() {
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -38,14 +38,19 @@
 		a.forwarder.setStateHeaders(x, 0)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, overload.Wait, "%v", overload))
 	case errors.As(err, &paced):
-		a.forwarder.count("refused_limit")
-		a.forwarder.setStateHeaders(x, deps.Admitter.Load().PacedLevel)
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLimit, paced.Wait, "%v", paced))
+		a.forwarder.refusePaced(x, paced)
 	default:
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
 	}
 }
 
+// refusePaced rejects a request that may not begin at the target yet.
+func (f *Forwarder) refusePaced(x *Exchange, paced *admitter.PacedError) {
+	f.count("refused_limit")
+	f.setStateHeaders(x, f.deps.Admitter.Load().PacedLevel)
+	x.refuse(refuse(http.StatusServiceUnavailable, ReasonLimit, paced.Wait, "%v", paced))
+}
+
 func priorityOf(x *Exchange) admitter.Priority {
 	return admitter.NewPriority(x.hop.Rank, x.hop.Call, x.hop.Root)
 }
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -41,6 +41,12 @@
 		x.ticket.Release()
 		return
 	}
+	var paced *admitter.PacedError
+	if errors.As(x.ticket.CheckDelay(), &paced) {
+		inFlight.deliveryEnd = endNotSent
+		f.refusePaced(x, paced)
+		return
+	}
 	timer := time.AfterFunc(x.timeLeft(d.now())+x.allowance(), func() { cancel(errDeadlinePassed) })
 	faulter.Reach(faulter.HopDelivering)
 	delivery := d.delivery(x, inFlight)
--- a/pkg/pacer/window.go
+++ b/pkg/pacer/window.go
@@ -5,12 +5,12 @@
 const (
 	// boundTime is the time over which the requests to a cold target are bounded.
 	boundTime = time.Second
-	// deliveryMargin is the difference in delay between two requests, from the decision
+	// DeliveryMargin is the difference in delay between two requests, from the decision
 	// to their arrival at the target, that the bound tolerates: a process that has used
 	// up its share of the processor is suspended for up to a period of 100 ms.
-	deliveryMargin = 100 * time.Millisecond
+	DeliveryMargin = 100 * time.Millisecond
 	// windowTime is the time over which requests are counted.
-	windowTime = boundTime + deliveryMargin
+	windowTime = boundTime + DeliveryMargin
 )
 
 // window holds when the requests of the last windowTime began, in order. The zero
