Explain: lines of cold and held back targets

primrose explain left out target_cold and target_pace lines, so that a refusal because of a cold target was shown without the report that made it cold.

--- a/pkg/explainer/explainer.go
+++ b/pkg/explainer/explainer.go
@@ -20,7 +20,8 @@
 // what it knows of others. The value is the field that identifies what changed;
 // no code reads it.
 var stateEvents = map[string]string{
-	"inforce": "version", "heard": "version", "target": "life", "target_gone": "", "target_state": "life", "drain": "", "start": "instance", "reload": "seeds",
+	"inforce": "version", "heard": "version", "target": "life", "target_gone": "", "target_state": "life",
+	"target_cold": "life", "target_pace": "life", "drain": "", "start": "instance", "reload": "seeds",
 }
 
 // Line is one line of a node's log.
