--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -46,14 +46,24 @@
 }
 
 // PacedError is the error for a request that was rejected because of the limit that
-// the target names.
+// the target names, of the bound of a cold target, or of a target that is held back.
 type PacedError struct {
 	// Wait is the delay after which the request may be retried.
 	Wait time.Duration
+	// Cold is why the target counts as cold; pacer.Warm if it does not.
+	Cold pacer.ColdReason
+	// Held says that the target is held back after a start or a recovery.
+	Held bool
 }
 
 // Error implements error.
 func (e *PacedError) Error() string {
+	if e.Cold != pacer.Warm {
+		return fmt.Sprintf("the target is cold (%s), come back in %v", e.Cold, e.Wait)
+	}
+	if e.Held {
+		return fmt.Sprintf("the target has started or recovered and is held back, come back in %v", e.Wait)
+	}
 	return fmt.Sprintf("the target's limit is used up, come back in %v", e.Wait)
 }
 
@@ -88,8 +98,15 @@
 	// that follows from it.
 	pacer      pacer.Pacer
 	pacedLevel level
-	// wakeup is set while a pacedDispatch is running.
-	wakeup bool
+	// cold keeps the bound of requests to a cold target.
+	cold pacer.Cold
+	// foundPace is set by UseFoundPace; ramp then holds back a target that has started or
+	// recovered.
+	foundPace bool
+	ramp      pacer.Ramp
+	// wakeupAt is when the earliest pacedDispatch that is running ends; zero without
+	// one.
+	wakeupAt time.Time
 	// costs are the mean times in the target by team, in seconds.
 	costs map[string]float64
 	// serviceSeconds is the mean time in the target over all teams.
@@ -123,6 +140,7 @@
 		a.warmupStart, a.warmupTime = a.clock.Now(), warmup
 		a.limit = initialLimit(a.algorithm, slots)
 		a.workTime = workTime{}
+		a.ramp.Begin(slots, a.clock.Now())
 	}
 	a.dispatch()
 }
@@ -144,6 +162,10 @@
 func (a *Admitter) SetDrained(drained bool) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.drained && !drained {
+		// The target may have turned cold shortly before, and its report be on its way.
+		a.cold.MarkIdle()
+	}
 	a.drained = drained
 	if !drained {
 		return 0
@@ -161,10 +183,15 @@
 	team     string
 	priority Priority
 	began    time.Time
+	// begunAt is when the request was counted as begun.
+	begunAt time.Time
 	// inflight is the number of requests in flight when this one began.
 	inflight int
 	// failed is set if the target failed the request.
 	failed bool
+	// answered and unanswered say whether the target has answered, or has not; neither
+	// if nobody knows.
+	answered, unanswered bool
 }
 
 // MarkFailed records that the target failed the request or did not answer. It precedes
@@ -232,7 +259,7 @@
 func (a *Admitter) recordArrival(p Priority, now time.Time) {
 	a.advanceLevels(now)
 	a.level.recordArrival(p, float64(a.inflight+1)/float64(max(a.currentLimit(now), 1)))
-	a.pacedLevel.recordArrival(p, a.pacer.Utilization(now))
+	a.pacedLevel.recordArrival(p, a.paceUtilization(now))
 	a.pacer.RecordArrival(now)
 }
 
@@ -244,10 +271,10 @@
 	a.pacedLevel.advance(now, a.serviceTime())
 }
 
-// hasRoom reports whether a request may begin: there is a free slot, and the limit
-// that the target names is not used up.
+// hasRoom reports whether a request may begin: there is a free slot, and neither the
+// limit that the target names nor the bound of a cold target is used up.
 func (a *Admitter) hasRoom(now time.Time) bool {
-	return a.inflight < a.currentLimit(now) && a.pacer.Ready(now)
+	return a.inflight < a.currentLimit(now) && a.paceReady(now)
 }
 
 // enqueue adds the waiter to the queue. If the queue is then too long, enqueue
@@ -255,9 +282,9 @@
 func (a *Admitter) enqueue(w *waiter) error {
 	a.queue.push(w)
 	a.dispatch()
-	w.paced = !a.pacer.Ready(w.since)
+	w.paced = !a.paceReady(w.since) || a.isHeldBack(w.since)
 	if w.dueAt.IsZero() {
-		w.expiresAt = w.since.Add(a.queueTimeout(w.paced))
+		w.expiresAt = w.since.Add(a.queueTimeout(w.paced, w.since))
 	}
 	if a.queue.size <= a.maxQueueLength(w.since) {
 		return nil
@@ -273,11 +300,11 @@
 }
 
 // reject records that a waiter is rejected for lack of capacity, and returns the error
-// for it.
+// for it. The target may have turned cold while it waited for a slot.
 func (a *Admitter) reject(w *waiter, now time.Time) error {
-	if w.paced {
+	if w.paced || !a.cold.Ready(now) {
 		a.pacedLevel.rejected = true
-		return &PacedError{Wait: a.pacer.Backoff(now)}
+		return a.pacedError(now)
 	}
 	a.level.rejected = true
 	if a.demand != nil {
@@ -318,14 +345,14 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &Ticket{admitter: a, team: w.team, priority: w.priority, began: a.clock.Now(), inflight: a.inflight}, nil
+	return &Ticket{admitter: a, team: w.team, priority: w.priority, began: a.clock.Now(), begunAt: w.begunAt, inflight: a.inflight}, nil
 }
 
 // acquire takes a free slot.
 func (a *Admitter) acquire(team string, p Priority, now time.Time) *Ticket {
+	a.paceBegin(now)
 	a.inflight++
-	a.pacer.Begin(now)
-	return &Ticket{admitter: a, team: team, priority: p, began: now, inflight: a.inflight}
+	return &Ticket{admitter: a, team: team, priority: p, began: now, begunAt: now, inflight: a.inflight}
 }
 
 // dispatch gives free slots to waiters.
@@ -340,8 +367,9 @@
 			w.result <- a.reject(w, now)
 			continue
 		}
+		a.paceBegin(now)
 		a.inflight++
-		a.pacer.Begin(now)
+		w.begunAt = now
 		if w.paced {
 			a.pacedLevel.recordWait(now.Sub(w.since))
 		} else {
@@ -349,17 +377,28 @@
 		}
 		w.result <- nil
 	}
-	if wait := a.pacer.Wait(now); wait > 0 && a.queue.size > 0 && !a.wakeup {
-		a.wakeup = true
-		d := &pacedDispatch{admitter: a, wait: wait}
-		go d.run()
+	if wait := a.paceWait(now); wait > 0 && a.queue.size > 0 {
+		a.scheduleDispatch(wait, now)
+	}
+}
+
+// scheduleDispatch starts a pacedDispatch unless one ends no later: what keeps requests
+// from beginning may end earlier than it was expected to.
+func (a *Admitter) scheduleDispatch(wait time.Duration, now time.Time) {
+	at := now.Add(wait)
+	if !a.wakeupAt.IsZero() && !at.Before(a.wakeupAt) {
+		return
 	}
+	a.wakeupAt = at
+	d := &pacedDispatch{admitter: a, at: at, wait: wait}
+	go d.run()
 }
 
-// pacedDispatch dispatches when the limit that the target names allows the next
-// request.
+// pacedDispatch dispatches when the limit that the target names, or the bound of a cold
+// target, allows the next request.
 type pacedDispatch struct {
 	admitter *Admitter
+	at       time.Time
 	wait     time.Duration
 }
 
@@ -368,7 +407,9 @@
 	<-a.clock.After(d.wait)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.wakeup = false
+	if a.wakeupAt.Equal(d.at) {
+		a.wakeupAt = time.Time{}
+	}
 	a.dispatch()
 }
 
@@ -383,10 +424,10 @@
 // requests may wait about as long as one runs, and a low limit is left to urgent
 // requests only if one of them may wait for the next that begins. The caller holds the
 // lock.
-func (a *Admitter) queueTimeout(paced bool) time.Duration {
+func (a *Admitter) queueTimeout(paced bool, now time.Time) time.Duration {
 	timeout := max(minQueueTimeout, a.serviceTime())
 	if paced {
-		return max(timeout, min(pacedIntervals*a.pacer.Interval(), maxPacedTimeout))
+		return max(timeout, min(pacedIntervals*a.paceInterval(now), maxPacedTimeout))
 	}
 	return timeout
 }
@@ -396,8 +437,12 @@
 	return time.Duration(a.serviceSeconds * float64(time.Second))
 }
 
-// currentLimit returns the limit, which grows linearly during the warm-up.
+// currentLimit returns the limit, which grows linearly during the warm-up, or as the
+// target's answers show.
 func (a *Admitter) currentLimit(now time.Time) int {
+	if a.foundPace {
+		return a.ramp.Limit(a.limit, now)
+	}
 	age := now.Sub(a.warmupStart)
 	if age >= a.warmupTime {
 		return a.limit
@@ -407,11 +452,12 @@
 }
 
 func (a *Admitter) maxQueueLength(now time.Time) int {
-	length := max(minQueueLength, queueFactor*a.limit)
-	if a.pacer.Ready(now) {
+	length := max(minQueueLength, queueFactor*a.effectiveLimit(now))
+	if a.paceReady(now) {
 		return length
 	}
-	return min(length, a.pacer.Waiters(a.queueTimeout(true)))
+	// As many as may begin within the queue timeout.
+	return min(length, max(1, int(a.queueTimeout(true, now)/max(a.paceInterval(now), 1))))
 }
 
 // overloadError returns an *OverloadError whose delay is the estimated time that
@@ -438,6 +484,7 @@
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	elapsed := now.Sub(t.began)
+	a.recordPace(t, elapsed, callTime, shed, now)
 	a.inflight--
 	if a.demand != nil {
 		a.demand.recordEnd(t.priority, elapsed)
@@ -495,15 +542,35 @@
 	// and PacedLevel the admission level that follows from that limit.
 	Paced      float64
 	PacedLevel Priority
+	// Held says that the target is held back until its answers allow all its slots.
+	Held bool
+	// Cold is why the target counts as cold, and ColdLeft for how long if that is known.
+	Cold     pacer.ColdReason
+	ColdLeft time.Duration
+}
+
+// coldUntilReport stands for a time that ends with the next report of the target, which
+// comes every 1.5 s.
+const coldUntilReport = 2 * time.Second
+
+// ColdTime returns for how long the target is likely to stay cold.
+func (l Load) ColdTime() time.Duration {
+	if l.Cold != pacer.Warm && l.ColdLeft == 0 {
+		return coldUntilReport
+	}
+	return l.ColdLeft
 }
 
 // Load returns a snapshot.
 func (a *Admitter) Load() Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
+	reason, left := a.cold.Reason(now)
 	load := Load{
-		Slots: a.slots, Limit: a.limit, Inflight: a.inflight, Queued: a.queue.size, Level: a.threshold(),
-		Paced: a.pacer.Utilization(a.clock.Now()), PacedLevel: a.pacedLevel.threshold(),
+		Slots: a.slots, Limit: a.effectiveLimit(now), Inflight: a.inflight, Queued: a.queue.size, Level: a.threshold(),
+		Paced: a.paceUtilization(now), PacedLevel: a.pacedLevel.threshold(), Cold: reason, ColdLeft: left,
+		Held: a.foundPace && a.ramp.Active(now),
 	}
 	if a.demand != nil {
 		load.Demand = a.demand.total
--- a/pkg/admitter/objective.go
+++ b/pkg/admitter/objective.go
@@ -29,11 +29,11 @@
 // others out. One that has missed its objective may wait as long as its deadline allows,
 // but no longer than others do.
 func (a *Admitter) bound(w *waiter, r Request) error {
-	if !a.objectives || r.DueAt.IsZero() || !a.pacer.Ready(w.since) {
+	if !a.objectives || r.DueAt.IsZero() || !a.paceReady(w.since) {
 		return nil
 	}
 	service := time.Duration(a.cost(r.Team) * float64(time.Second))
-	timeout := a.queueTimeout(false)
+	timeout := a.queueTimeout(false, w.since)
 	if r.Objective > 0 {
 		timeout = max(r.Objective/objectiveWaitDivisor, minObjectiveWait)
 	}
@@ -56,7 +56,7 @@
 // expectedWait estimates how long a request will wait: one slot becomes free in each
 // service time divided by the limit.
 func (a *Admitter) expectedWait(w *waiter) time.Duration {
-	seconds := a.serviceSeconds * float64(a.queue.ahead(w)+1) / float64(max(a.limit, 1))
+	seconds := a.serviceSeconds * float64(a.queue.ahead(w)+1) / float64(max(a.effectiveLimit(w.since), 1))
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -14,8 +14,11 @@
 	expiresAt time.Time
 	// dueAt is when its objective ends; zero unless it was bounded by it, see bound.
 	dueAt time.Time
-	// paced is set if it had to wait for the limit that the target names.
+	// paced is set if it had to wait for the limit that the target names, for the bound
+	// of a cold target, or for a target that is held back.
 	paced bool
+	// begunAt is when it got its slot.
+	begunAt time.Time
 	// result receives nil when the request may run, or the error that rejects it.
 	result chan error
 }
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -42,9 +42,7 @@
 		a.forwarder.setStateHeaders(x, 0)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLoad, overload.Wait, "%v", overload))
 	case errors.As(err, &paced):
-		a.forwarder.count("refused_limit")
-		a.forwarder.setStateHeaders(x, deps.Admitter.Load().PacedLevel)
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonLimit, paced.Wait, "%v", paced))
+		a.forwarder.refusePaced(x, paced)
 	case errors.As(err, &drained):
 		a.forwarder.count("refused_drained")
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDrained, drainedRetryDelay, "%v", drained))
@@ -54,6 +52,13 @@
 	}
 }
 
+// refusePaced rejects a request that may not begin at the target yet.
+func (f *Forwarder) refusePaced(x *Exchange, paced *admitter.PacedError) {
+	f.count("refused_limit")
+	f.setStateHeaders(x, f.deps.Admitter.Load().PacedLevel)
+	x.refuse(refuse(http.StatusServiceUnavailable, ReasonLimit, paced.Wait, "%v", paced))
+}
+
 func priorityOf(x *Exchange) admitter.Priority {
 	return admitter.NewPriority(x.hop.Rank, x.hop.Call, x.hop.Root)
 }
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -39,6 +39,13 @@
 	// for its slot.
 	if f.rejectQuarantined(x) || f.rejectDrained(x) {
 		inFlight.deliveryEnd = endNotSent
+		x.ticket.Release()
+		return
+	}
+	var paced *admitter.PacedError
+	if errors.As(x.ticket.CheckDelay(), &paced) {
+		inFlight.deliveryEnd = endNotSent
+		f.refusePaced(x, paced)
 		return
 	}
 	timer := time.AfterFunc(x.timeLeft(d.now())+x.allowance(), func() { cancel(errDeadlinePassed) })
@@ -58,8 +65,13 @@
 	if isFinalStatus(response.StatusCode) {
 		verdict = f.deps.Dialect.Classify(response, delivery)
 	}
-	if verdict == Valid || verdict == Declined {
+	switch verdict {
+	case Valid, Declined:
+		x.ticket.RecordAnswer()
 		f.recordStatement(x, response, inFlight.startedAt)
+	case Misdirected:
+		// Another process has got the request, the target has not.
+		x.ticket.Release()
 	}
 	shed = verdict == Declined || routerResultOf(response.StatusCode) == router.Shed && !inFlight.hadFailedCall()
 	if verdict != Valid || routerResultOf(response.StatusCode) != router.Succeeded {
@@ -130,20 +142,27 @@
 	f.setCostHeader(x, inFlight)
 	var connectorErr *connector.Error
 	sent := !errors.As(err, &connectorErr) || connectorErr.Sent
+	if !sent {
+		x.ticket.Release()
+	}
 	switch {
 	case !sent && errors.Is(cause, errDeadlinePassed):
 		inFlight.deliveryEnd = endNotSent
+		x.ticket.RecordFailure()
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent"))
 	case !sent:
 		inFlight.deliveryEnd = endNotSent
+		x.ticket.RecordFailure()
 		f.deps.CheckTarget(x.target)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetRetryDelay, "the target cannot be reached"))
 	case errors.Is(cause, errDeadlinePassed):
+		x.ticket.RecordFailure()
 		x.refuse(lostRefusal(http.StatusGatewayTimeout, "the deadline passed before the answer came"))
 	case x.Context().Err() != nil:
 		x.refuse(callerGoneRefusal(Unknown))
 	default:
 		inFlight.deliveryEnd = endConnectionBroken
+		x.ticket.RecordFailure()
 		f.deps.CheckTarget(x.target)
 		x.refuse(lostRefusal(http.StatusBadGateway, "the target's connection broke before the answer came"))
 	}
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -42,8 +42,9 @@
 	// The following are used only between nodes. headerLife says which life of the
 	// target HeaderLimit and HeaderLeaving are about, headerWork what the target has to
 	// do for all nodes, headerCost what a request used of overloaded services, in
-	// microseconds, headerWeight for how many requests one stands, and headerLeft the
-	// time until its objective ends, in microseconds.
+	// microseconds, headerWeight for how many requests one stands, headerLeft the time
+	// until its objective ends, in microseconds, and headerCold for how many
+	// milliseconds the target stays cold.
 	headerHop     = "Primrose-Hop"
 	headerRetries = "Primrose-Retries"
 	headerLevel   = "Primrose-Level"
@@ -53,6 +54,7 @@
 	headerCost    = "Primrose-Cost"
 	headerWeight  = "Primrose-Weight"
 	headerLeft    = "Primrose-Left"
+	headerCold    = "Primrose-Cold"
 
 	// headerTeam names the team of a request to the target.
 	headerTeam = "Primrose-Team"
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -369,6 +369,7 @@
 	}
 	a.recordPeerStatement(x, r.Header)
 	f.recordCost(x, r.Header)
+	a.recordPeerCold(r.Header)
 	switch Outcome(r.Header.Get(HeaderOutcome)) {
 	case NotRun:
 		refusal := readRefusal(r, NotRun)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -112,6 +112,7 @@
 	leavingLife string
 	// pausedUntil is when the target may next have room in the limit that it names.
 	pausedUntil time.Time
+	cold        coldState
 }
 
 // Router chooses targets. The caller passes the members with each choice, so the
@@ -134,6 +135,10 @@
 	distances map[string]*distance
 	// byFinish selects the choice by the expected time of completion.
 	byFinish bool
+	// readsCold is set by UseCold.
+	readsCold bool
+	// targetPace is set by UseTargetPace.
+	targetPace bool
 }
 
 // New returns a router for the node of an instance in a data centre.
@@ -170,6 +175,8 @@
 	}
 	c.local, c.remote = r.subset(c.local), r.subset(c.remote)
 	r.services[service] = c
+	r.readCold(c.local)
+	r.readCold(c.remote)
 	return c
 }
 
@@ -288,11 +295,17 @@
 // suspected to be down.
 func (r *Router) score(e *control.Entry, now time.Time) float64 {
 	s := r.targetStats(e)
-	share := warmupShare + (1-warmupShare)*math.Min(1, now.Sub(s.warmupStart).Seconds()/warmupTime.Seconds())
+	share := 1.0
+	if !r.targetPace {
+		share = warmupShare + (1-warmupShare)*math.Min(1, now.Sub(s.warmupStart).Seconds()/warmupTime.Seconds())
+	}
 	score := (float64(s.inflight) + 1) * (s.latency.mean + 0.001) / share
 	if now.Sub(s.lastShed) < minEjection/10 {
 		score *= 4
 	}
+	if s.isCold(now) {
+		score *= coldPenalty
+	}
 	if e.State == control.State_STATE_SUSPECT {
 		score *= 8
 	}
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -32,6 +32,7 @@
 		s.traffic,
 		&silenceLog{server: s},
 		s.boundsLog,
+		&coldWatcher{server: s},
 	}
 	if s.folder != nil {
 		list = append(list, &joiner{s}, &acceptedReader{server: s}, &recordCopier{server: s}, &auditWriter{s}, &abstentionEnder{s})
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -22,6 +22,7 @@
 		{Name: "primrose_demand", Help: "Demand for the own target in slots, with what entry nodes hold back; 0 unless shedding is chains.", Read: func() float64 { return s.admitter.Load().Demand }},
 		{Name: "primrose_passing_share", Help: "Least share of any route's requests of a rank that this entry node lets pass; 1 unless shedding is chains.", Read: s.passingShare},
 		{Name: "primrose_target_rate", Help: "Requests a second that the own target takes at most, as it states; -1 if it names no limit.", Read: s.targetRate},
+		{Name: "primrose_target_cold_limit", Help: "Requests that the own target may get in any second while it is cold; -1 if it is not.", Read: s.ownTargetColdLimit},
 		{Name: "primrose_target_connections", Help: "Connections made to targets since the start.", Read: func() float64 { return float64(s.connector.Dialed()) }},
 		{Name: "primrose_updates", Help: "Updates that this node still has to tell others, or keeps for members that become known.", Read: func() float64 { return float64(s.gossip.PendingUpdates()) }},
 		{Name: "primrose_suspects", Help: "Requests that ran at a crash of a target.", Read: func() float64 { suspects, _ := s.quarantine.Count(); return float64(suspects) }},
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -259,6 +259,7 @@
 func (s *Server) Reload(newer *configurer.Settings) {
 	s.live.Store(s.settings.Reload(newer))
 	s.gossip.SetSeeds(s.seeds())
+	s.applyColdBound()
 	s.log.Info("reload", "seeds", s.seeds(), "grace", newer.Grace.Duration, "drain", newer.Drain.Duration)
 }
 
@@ -283,6 +284,13 @@
 	if byFinish {
 		s.router.PlaceByFinish()
 	}
+	if enforcesColdBound(s.settings) {
+		s.router.UseCold()
+	}
+	if s.settings.Pace == configurer.PaceFound {
+		s.admitter.UseFoundPace()
+		s.router.UseTargetPace()
+	}
 	s.forwarder = forwarder.New(forwarder.Deps{
 		Clock: s.clock, Log: s.log, Config: s.config, Withdrawn: s.withdrawn, Quarantine: s.quarantine,
 		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, Chains: s.chains, Objectives: objectives, CountEvent: s.countEvent, Observer: s.measurer,
@@ -307,6 +315,9 @@
 	s.announcer.SetPlace(s.place)
 	s.applyDrains(s.config.Current())
 	s.config.Subscribe(s.applyDrains)
+	s.announcer.SetColdObserver(&ownCold{s})
+	s.applyColdBound()
+	s.config.Subscribe(func(*enforcer.Config) { s.applyColdBound() })
 }
 
 // plainPeerConnector makes the connector for requests without a body to other
@@ -397,7 +408,7 @@
 		e.Service, e.Slots, e.Cold = "", 0, 0
 		if t != nil && s.stopping.Load() == nil {
 			e.Service, e.Slots, e.Life = t.Service, uint32(t.Slots), t.Life
-			e.Cold = uint32(max(cold, 0).Milliseconds())
+			e.Cold = uint32(max(cold, s.coldLeft(), 0).Milliseconds())
 		}
 	})
 }
