--- a/pkg/router/cold.go
+++ b/pkg/router/cold.go
@@ -55,3 +55,9 @@
 
 // isCold reports whether the target is cold, as far as this node knows.
 func (s *targetStats) isCold(now time.Time) bool { return now.Before(s.cold.until) }
+
+// coldBoundUsed reports whether the target is cold and its node has said lately that its
+// bound is used up.
+func (s *targetStats) coldBoundUsed(now time.Time) bool {
+	return s.isCold(now) && s.load >= 1 && now.Sub(s.loadReported) < loadTTL
+}
--- a/pkg/router/finish.go
+++ b/pkg/router/finish.go
@@ -146,7 +146,7 @@
 	if s.reportsLost() {
 		ttl = lostRejectionTTL
 	}
-	return !s.lastShed.IsZero() && now.Sub(s.lastShed) < ttl || !s.pausedUntil.IsZero() && now.Before(s.pausedUntil)
+	return !s.lastShed.IsZero() && now.Sub(s.lastShed) < ttl || !s.pausedUntil.IsZero() && now.Before(s.pausedUntil) || s.coldBoundUsed(now)
 }
 
 // isFull reports whether the target has no free slot, or none for callers of other data
@@ -292,9 +292,13 @@
 func (r *Router) option(e *control.Entry, s *targetStats, now time.Time) option {
 	weight := s.work.weight(now)
 	requests, limit := s.workLoad(e, weight)
+	load := max(1, (requests+1)/limit)
+	if s.isCold(now) {
+		load *= coldPenalty
+	}
 	return option{
 		entry: e, stats: s, full: s.isFull(e, now), rejects: s.rejects(now),
-		seconds: s.seconds(weight), blind: weight == 0, load: max(1, (requests+1)/limit),
+		seconds: s.seconds(weight), blind: weight == 0, load: load,
 	}
 }
 
--- a/pkg/router/statements.go
+++ b/pkg/router/statements.go
@@ -23,7 +23,7 @@
 // bound of a cold one, as far as this node knows.
 func (r *Router) isPaused(e *control.Entry, now time.Time) bool {
 	s := r.targetStats(e)
-	return now.Before(s.pausedUntil) || s.isCold(now) && s.load >= 1 && now.Sub(s.loadReported) < loadTTL
+	return now.Before(s.pausedUntil) || s.coldBoundUsed(now)
 }
 
 // HasUntried reports whether a usable target among the members of a service has not
