Status names which targets are cold or held back, and at which rate

Operators saw the state of a target after a start only in the metrics and the log of its own node. primrose status has a column PACE now, from the probe of each instance; the gossip entry would mislead, since nodes without a bound for cold targets never take back what they tell at a start.

--- a/pkg/server/cold_target.go
+++ b/pkg/server/cold_target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/configurer"
@@ -148,3 +149,18 @@
 	}
 	return float64(s.coldBound(s.ownService()).Requests())
 }
+
+// targetPace describes for operators what bounds the requests to the own target after a
+// start or a recovery; empty if nothing does.
+func (s *Server) targetPace() string {
+	load := s.admitter.Load()
+	switch {
+	case s.announcer.Target() == nil:
+		return ""
+	case load.Cold != pacer.Warm:
+		return fmt.Sprintf("cold (%s), %d a second, %v left", load.Cold, s.coldBound(s.ownService()).Requests(), load.ColdTime().Round(time.Millisecond))
+	case load.Held:
+		return fmt.Sprintf("held back, %d of %d slots", load.Limit, load.Slots)
+	}
+	return ""
+}
--- a/pkg/server/operator_service.go
+++ b/pkg/server/operator_service.go
@@ -229,7 +229,7 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	if reply, err := s.server.caller.Peer(e.Address).Probe(ctx, &control.ProbeRequest{}); err == nil {
-		entry.Version = reply.Version
+		entry.Version, entry.Pace = reply.Version, reply.Pace
 	}
 	return entry
 }
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -150,7 +150,7 @@
 
 // Probe implements control.Peer.
 func (p *peerService) Probe(_ context.Context, r *control.ProbeRequest) (*control.ProbeReply, error) {
-	reply := &control.ProbeReply{Instance: p.server.settings.Instance, Version: p.server.config.Current().Version()}
+	reply := &control.ProbeReply{Instance: p.server.settings.Instance, Version: p.server.config.Current().Version(), Pace: p.server.targetPace()}
 	if r.Leases {
 		reply.Holding = p.server.holder.HoldsLease()
 	}
