Server: a stop whose own target is lost ends within the grace time

A supervisor may find a node still running when its grace time is over, and kill it: with a grace time of 6 s and a target that is lost 5.5 s after the signal the stop took 7.02 s; with one lost after 4 s it took 5.52 s, where 4.05 s suffice (fake clock, see the test). Found by reading the code; it has not been seen on a running fleet.

Cause: after the drain, stop waited LeavePropagationDelay (1.5 s) if there was no target. That wait is meant for a node that has none. It also took place when the target was lost during the drain, it began only then, although other nodes are told at the beginning of the stop, and it did not end with the stop's context.

Change: the wait counts from the beginning of the stop and ends with the context, as the wait for readiness checks did. A node without a target waits as before.

Ruled out: this is not why TestStoppingNodeTakesWhatItCannotAnswer fails on a busy machine. Its target is alive during the whole stop, and one whose announcement expired before the signal leaves time for the wait.

--- a/pkg/server/stop.go
+++ b/pkg/server/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/announcer"
 	"github.com/primrosewall/primrosewall/pkg/forwarder"
@@ -21,13 +22,11 @@
 		s.reportError("drain", err)
 	}
 	if s.announcer.Target() == nil {
-		<-s.clock.After(announcer.LeavePropagationDelay)
+		// There was none to drain, or it was lost during the drain.
+		s.waitSinceStop(ctx, announcer.LeavePropagationDelay)
 	}
 	if s.callersCheckReadiness() {
-		select {
-		case <-s.clock.After(readyPropagationDelay - s.clock.Now().Sub(s.stopBegan)):
-		case <-ctx.Done():
-		}
+		s.waitSinceStop(ctx, readyPropagationDelay)
 	}
 	for _, l := range listeners {
 		if err := l.server.Shutdown(ctx); err != nil {
@@ -36,6 +35,14 @@
 	}
 }
 
+// waitSinceStop waits until d has passed since the stop began, or until ctx ends.
+func (s *Server) waitSinceStop(ctx context.Context, d time.Duration) {
+	select {
+	case <-s.clock.After(d - s.clock.Now().Sub(s.stopBegan)):
+	case <-ctx.Done():
+	}
+}
+
 // beginStop fixes the times of the stop.
 func (s *Server) beginStop() *forwarder.Stop {
 	s.stopBegan = s.clock.Now()
