Cold targets: a request counts from when it is sent, not from when it begins

The bound counted a request when it began. Its first byte may leave much later: the connection to a target that has just started takes long, and the processor is busy. Requests that began apart then arrived together.

The connector now calls the ticket just before the first byte of a request, which counts it as of then; one that is no longer counted needs a place under the bound again and is otherwise withheld, refused as not run. Ruled out: a longer margin, as connections have no such bound.

--- a/pkg/admitter/target_pace.go
+++ b/pkg/admitter/target_pace.go
@@ -153,6 +153,22 @@
 	return a.pacedError(now)
 }
 
+// Send counts the request under the bound of cold targets as one of now, just before it
+// goes to the target. It returns a *PacedError if it must not be sent any more. Load
+// answered: a node that has just started beside its target, whose connections take long,
+// so that requests that began apart arrive together.
+func (t *Ticket) Send() error {
+	a := t.admitter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	if !a.cold.Send(t.begunAt, now) {
+		return a.pacedError(now)
+	}
+	t.begunAt = now
+	return nil
+}
+
 // Release gives back the place that the request took under the bound of a cold target,
 // since the target has not got it.
 func (t *Ticket) Release() {
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -59,6 +59,16 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// beforeSendKey is the context key of the function that WithBeforeSend sets.
+type beforeSendKey struct{}
+
+// WithBeforeSend returns a context with which Do calls a function just before it writes
+// the first byte of a request, on a connection that stands by then. If the function
+// returns an error, the request is not sent.
+func WithBeforeSend(ctx context.Context, beforeSend func() error) context.Context {
+	return context.WithValue(ctx, beforeSendKey{}, beforeSend)
+}
+
 // ResponseCheck reports whether a response belongs to the request that was sent.
 type ResponseCheck func(*http.Response) bool
 
@@ -124,6 +134,7 @@
 		return nil, &Error{Err: err}
 	}
 	x := &exchange{connector: c, conn: cn, request: r, reused: cn.used, written: make(chan error, 1)}
+	x.beforeSend, _ = ctx.Value(beforeSendKey{}).(func() error)
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
 	cn.used = true
 	if r.ContentLength == 0 {
@@ -136,6 +147,9 @@
 		x.stopAbort()
 		// After this nothing more is sent, so the value of sent is final.
 		cn.Close()
+		if withheld := x.withheld.Load(); withheld != nil {
+			err = *withheld
+		}
 		return nil, &Error{Sent: x.sent.Load(), Reused: x.reused, Err: err}
 	}
 	response.Body = &responseBody{exchange: x, body: response.Body, response: response}
@@ -237,12 +251,14 @@
 // notifyingWriter calls beforeWrite before each write to a connection.
 type notifyingWriter struct {
 	conn        net.Conn
-	beforeWrite func()
+	beforeWrite func() error
 }
 
 // Write implements io.Writer.
 func (w *notifyingWriter) Write(p []byte) (int, error) {
-	w.beforeWrite()
+	if err := w.beforeWrite(); err != nil {
+		return 0, err
+	}
 	return w.conn.Write(p)
 }
 
@@ -253,6 +269,9 @@
 	request   *http.Request
 	reused    bool
 	sent      atomic.Bool
+	// beforeSend is set by WithBeforeSend, and withheld holds the error that it returned.
+	beforeSend func() error
+	withheld   atomic.Pointer[error]
 	// stopAbort detaches the exchange from the context; it returns false if the
 	// context has already ended the exchange.
 	stopAbort func() bool
@@ -266,7 +285,7 @@
 // readResponse.
 func (x *exchange) writeRequest() {
 	cn := x.conn
-	cn.writer.Reset(&notifyingWriter{conn: cn.Conn, beforeWrite: func() { x.sent.Store(true) }})
+	cn.writer.Reset(&notifyingWriter{conn: cn.Conn, beforeWrite: x.beginSend})
 	err := x.request.Write(cn.writer)
 	if err == nil {
 		err = cn.writer.Flush()
@@ -278,6 +297,21 @@
 	x.written <- err
 }
 
+// beginSend is called before each write of the request.
+func (x *exchange) beginSend() error {
+	if x.sent.Load() {
+		return nil
+	}
+	if x.beforeSend != nil {
+		if err := x.beforeSend(); err != nil {
+			x.withheld.Store(&err)
+			return err
+		}
+	}
+	x.sent.Store(true)
+	return nil
+}
+
 // readResponse returns the first final response that belongs to the request.
 func (x *exchange) readResponse(belongs ResponseCheck) (*http.Response, error) {
 	for foreign, interim := 0, 0; ; {
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -52,7 +52,7 @@
 	faulter.Reach(faulter.HopDelivering)
 	delivery := d.delivery(x, inFlight)
 	matches := func(r *http.Response) bool { return f.deps.Dialect.Matches(r, delivery) }
-	response, err := f.deps.TargetConnector.Do(ctx, x.target.Address, d.request(x, delivery), matches)
+	response, err := f.deps.TargetConnector.Do(connector.WithBeforeSend(ctx, x.ticket.Send), x.target.Address, d.request(x, delivery), matches)
 	if err != nil {
 		timer.Stop()
 		x.ticket.MarkFailed()
@@ -145,6 +145,12 @@
 	if !sent {
 		x.ticket.Release()
 	}
+	var paced *admitter.PacedError
+	if errors.As(err, &paced) {
+		inFlight.deliveryEnd = endNotSent
+		f.refusePaced(x, paced)
+		return
+	}
 	switch {
 	case !sent && errors.Is(cause, errDeadlinePassed):
 		inFlight.deliveryEnd = endNotSent
--- a/pkg/pacer/cold.go
+++ b/pkg/pacer/cold.go
@@ -202,6 +202,20 @@
 	}
 }
 
+// Send counts a request that began at a time as one of now, when it goes to the target,
+// and reports whether it may: it may have taken long since it began, for a connection or
+// the processor. One that is no longer counted needs a place under the bound again.
+func (c *Cold) Send(begunAt, now time.Time) bool {
+	if !c.bound.tracked() {
+		return true
+	}
+	if !c.window.remove(begunAt) && !c.Ready(now) {
+		return false
+	}
+	c.window.add(now)
+	return true
+}
+
 // Release uncounts a request that began at a time: the target has not got it, or
 // another process has answered it as misdirected.
 func (c *Cold) Release(at time.Time) {
--- a/pkg/pacer/cold_test.go
+++ b/pkg/pacer/cold_test.go
@@ -224,3 +224,50 @@
 		qt.Check(t, cold.Utilization(epoch), qt.Equals, 0.0)
 	}
 }
+
+// TestDelayedRequestsArriveTogether guards against requests that begin apart and arrive
+// together at a cold target, since each took up to 2 s for its connection: counted from
+// their beginning, more than the bound arrive in a second.
+func TestDelayedRequestsArriveTogether(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		var cold pacer.Cold
+		now := epoch
+		cold.SetBound(pacer.ColdBound{Rate: 5.4, Ratio: 1.5, Slack: 8}, now)
+		cold.Report(0, true, now)
+		now = now.Add(time.Minute)
+		cold.Report(time.Hour, true, now)
+		type waiting struct{ begunAt, sendAt time.Time }
+		var pending []waiting
+		var sent []time.Time
+		for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(5 * time.Millisecond) {
+			cold.RecordAnswer(now)
+			if cold.Ready(now) {
+				cold.Begin(now)
+				delay := time.Duration(random.IntN(100)) * time.Millisecond
+				if random.IntN(4) == 0 {
+					delay = time.Duration(random.IntN(2000)) * time.Millisecond
+				}
+				pending = append(pending, waiting{now, now.Add(delay)})
+			}
+			pending = slices.DeleteFunc(pending, func(w waiting) bool {
+				if w.sendAt.After(now) {
+					return false
+				}
+				if cold.Send(w.begunAt, now) {
+					sent = append(sent, now)
+				}
+				return true
+			})
+		}
+		most, first := 0, 0
+		for i, at := range sent {
+			for at.Sub(sent[first]) >= time.Second {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		qt.Check(t, most <= 16, qt.IsTrue, qt.Commentf("seed %d: %d in a second", seed, most))
+		qt.Check(t, len(sent) >= 20*8, qt.IsTrue, qt.Commentf("seed %d: %d sent", seed, len(sent)))
+	}
+}
