--- a/pkg/admitter/found_pace_test.go
+++ b/pkg/admitter/found_pace_test.go
@@ -160,7 +160,7 @@
 		for range 3 {
 			ticket, err := s.admitter.Admit(context.Background(), "team", 0)
 			qt.Assert(t, err, qt.IsNil)
-			ticket.RecordFailure()
+			ticket.RecordNoAnswer()
 			ticket.Done(0, false)
 		}
 		qt.Check(t, s.admitter.Load().Limit, qt.Equals, startedSlots/4)
--- a/pkg/admitter/target_pace.go
+++ b/pkg/admitter/target_pace.go
@@ -119,13 +119,13 @@
 		reason, _ := a.cold.Reason(now)
 		a.ramp.RecordAnswer(pacer.Answer{Took: took, Calls: min(calls, took), Refused: refused}, reason != pacer.Warm, now)
 	case t.unanswered:
-		a.ramp.RecordFailure(a.slots, now)
+		a.ramp.RecordNoAnswer(a.slots, now)
 	}
 }
 
-// RecordFailure records that the target has not answered the request: it could not be
+// RecordNoAnswer records that the target has not answered the request: it could not be
 // reached, its connection broke, or the deadline passed. It must precede Done.
-func (t *Ticket) RecordFailure() { t.unanswered = true }
+func (t *Ticket) RecordNoAnswer() { t.unanswered = true }
 
 // RecordAnswer records that the target has answered the request, as opposed to another
 // process or nobody. It must precede Done.
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -154,21 +154,21 @@
 	switch {
 	case !sent && errors.Is(cause, errDeadlinePassed):
 		inFlight.deliveryEnd = endNotSent
-		x.ticket.RecordFailure()
+		x.ticket.RecordNoAnswer()
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent"))
 	case !sent:
 		inFlight.deliveryEnd = endNotSent
-		x.ticket.RecordFailure()
+		x.ticket.RecordNoAnswer()
 		f.deps.CheckTarget(x.target)
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetRetryDelay, "the target cannot be reached"))
 	case errors.Is(cause, errDeadlinePassed):
-		x.ticket.RecordFailure()
+		x.ticket.RecordNoAnswer()
 		x.refuse(lostRefusal(http.StatusGatewayTimeout, "the deadline passed before the answer came"))
 	case x.Context().Err() != nil:
 		x.refuse(callerGoneRefusal(Unknown))
 	default:
 		inFlight.deliveryEnd = endConnectionBroken
-		x.ticket.RecordFailure()
+		x.ticket.RecordNoAnswer()
 		f.deps.CheckTarget(x.target)
 		x.refuse(lostRefusal(http.StatusBadGateway, "the target's connection broke before the answer came"))
 	}
--- a/pkg/pacer/ramp.go
+++ b/pkg/pacer/ramp.go
@@ -166,8 +166,8 @@
 	r.beginInterval(now)
 }
 
-// RecordFailure takes a request that the target has not answered.
-func (r *Ramp) RecordFailure(slots int, now time.Time) {
+// RecordNoAnswer takes a request that the target has not answered.
+func (r *Ramp) RecordNoAnswer(slots int, now time.Time) {
 	r.failures++
 	if r.failures >= recoveryFailures {
 		r.Begin(slots, now)
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -1,6 +1,7 @@
 // Package planner turns the requests of operators into changes of the register: a
 // plan against the version in force, its confirmation, a document applied without
-// a plan, the drain of a data centre, and the replacement of replicas. Each change is a compare-and-set.
+// a plan, the drain of a data centre, and the replacement of replicas. Each change is a
+// compare-and-set.
 package planner
 
 import (
