--- a/pkg/commander/status.go
+++ b/pkg/commander/status.go
@@ -50,7 +50,7 @@
 func (t *terminal) showStatus(reply *control.StatusReply) {
 	stale := 0
 	table := tabwriter.NewWriter(t.out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "CENTRE\tINSTANCE\tSTATE\tSERVICE\tSLOTS\tVERSION\tREPLICA\tPACE")
+	fmt.Fprintln(table, "CENTRE\tINSTANCE\tSTATE\tSERVICE\tSLOTS\tVERSION\tPACE\tREPLICA")
 	for _, e := range reply.Entries {
 		version := fmt.Sprint(e.Version)
 		if e.Version < reply.Version {
@@ -60,7 +60,7 @@
 		if e.Version == 0 {
 			version = "unknown"
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", e.Centre, e.Instance, stateName(e.State), orDash(e.Service), e.Slots, version, orDash(replicaName(reply, e)), orDash(e.Pace))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", e.Centre, e.Instance, stateName(e.State), orDash(e.Service), e.Slots, version, orDash(e.Pace), orDash(replicaName(reply, e)))
 	}
 	table.Flush()
 	fmt.Fprintf(t.out, "version %d, in force at %d of %d instances; %d replicas in epoch %d bear the loss of %d\n",
