--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// server stands in for the application server of a machine. It serves one request at a time
+// on a connection, runs at most slots requests and queues a few more.
+type server struct {
+	machine *machine
+	id      string
+	slots   int
+	born    int64
+	work    func(r *http.Request) time.Duration
+	// afterRead is called with each request once it is read, before it runs; it may be nil.
+	afterRead func(c net.Conn, r *http.Request, count int)
+
+	listener net.Listener
+	running  chan struct{}
+	stop     chan struct{}
+
+	mu       sync.Mutex
+	sequence int
+	state    string
+	runs     []*execution
+}
+
+// execution is a request that has reached the server.
+type execution struct {
+	id                  string
+	arrived, began, end time.Time
+	server              string
+}
+
+// startServer starts the server of a machine, and its status reports.
+func (m *machine) startServer(id string, slots int, work func(r *http.Request) time.Duration) *server {
+	s := &server{machine: m, id: id, slots: slots, born: time.Now().UnixMilli(), work: work, running: make(chan struct{}, slots), stop: make(chan struct{}), state: "ready"}
+	l, err := net.Listen("tcp", m.address(portApp))
+	check(err)
+	s.listener = l
+	go s.accept()
+	go s.report()
+	m.fleet.onClose(func() { close(s.stop); l.Close() })
+	return s
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *server) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for count := 1; ; count++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		status, body, header := s.answer(c, r, count)
+		if status == 0 {
+			return
+		}
+		var out bytes.Buffer
+		fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n%s\r\n%s",
+			status, http.StatusText(status), r.Header.Get("Request-Id"), len(body), header, body)
+		if _, err := c.Write(out.Bytes()); err != nil {
+			return
+		}
+	}
+}
+
+// answer runs a request and returns its answer; a status of 0 closes the connection.
+func (s *server) answer(c net.Conn, r *http.Request, count int) (status int, body, header string) {
+	f := s.machine.fleet
+	id := r.Header.Get("Request-Id")
+	if r.URL.Path == "/health" {
+		return http.StatusOK, "", "Instance-Id: " + s.id + "\r\n"
+	}
+	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != s.id {
+		f.record.add("%s: request %s is for %s, 421", s.id, id, expected)
+		return http.StatusMisdirectedRequest, "", "Not-Executed: 1\r\n"
+	}
+	e := &execution{id: id, arrived: time.Now(), server: s.id}
+	f.record.add("%s: request %s arrives", s.id, id)
+	s.mu.Lock()
+	s.runs = append(s.runs, e)
+	s.mu.Unlock()
+	limit := 30 * time.Second
+	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	select {
+	case s.running <- struct{}{}:
+	case <-time.After(limit):
+		f.record.add("%s: request %s has not run, its time limit passed in the queue", s.id, id)
+		return http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n"
+	}
+	defer func() { <-s.running }()
+	s.mu.Lock()
+	e.began = time.Now()
+	s.mu.Unlock()
+	f.record.add("%s: request %s runs", s.id, id)
+	if s.afterRead != nil {
+		s.afterRead(c, r, count)
+	}
+	left := limit - time.Since(e.arrived)
+	work := s.work(r)
+	time.Sleep(min(work, left))
+	s.mu.Lock()
+	e.end = time.Now()
+	s.mu.Unlock()
+	if work > left {
+		f.record.add("%s: request %s ends at its time limit, 504", s.id, id)
+		return http.StatusGatewayTimeout, "", "Response-Signature: " + signature(s.id, id) + "\r\n"
+	}
+	f.record.add("%s: request %s has run, 200", s.id, id)
+	return http.StatusOK, "done " + id, "Response-Signature: " + signature(s.id, id) + "\r\n"
+}
+
+func signature(server, id string) string { return "sig." + server + "." + id }
+
+// executions returns copies of the requests that have reached the server.
+func (s *server) executions() []execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []execution
+	for _, e := range s.runs {
+		list = append(list, *e)
+	}
+	return list
+}
+
+// report sends status reports until the case ends.
+func (s *server) report() {
+	for {
+		s.sendReport()
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// sendReport sends one status report to the node of the machine, and reports whether it
+// was acknowledged.
+func (s *server) sendReport() bool {
+	s.mu.Lock()
+	s.sequence++
+	body, err := json.Marshal(map[string]any{
+		"address": s.machine.address(portApp), "born": s.born,
+		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": "zone-a", "slots": s.slots},
+		"status": map[string]any{"state": s.state, "sequence": s.sequence, "cold_remaining": "0ms"},
+	})
+	state := s.state
+	s.mu.Unlock()
+	check(err)
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Post("http://"+s.machine.address(portControl)+"/Instances.Heartbeat/"+s.id, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	if state != "ready" {
+		s.machine.fleet.record.add("%s: status report %q, answer %d", s.id, state, response.StatusCode)
+	}
+	return response.StatusCode/100 == 2
+}
+
+// drain reports that the server leaves, and returns when that was first acknowledged.
+func (s *server) drain() time.Time {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	for !s.sendReport() {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return time.Now()
+}
