--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -12,6 +12,9 @@
 	slowSlots = 8
 	// calmWaves is how many waves of requests come before the one that is larger.
 	calmWaves = 6
+	// longerThanDrain is how much longer than the drain bound the leaving server serves. All
+	// that it ran when it left has ended by then.
+	longerThanDrain = 2500 * time.Millisecond
 	// drainSlack is allowed beyond the bound of the rule, for the way of a request.
 	drainSlack = 250 * time.Millisecond
 )
@@ -66,13 +69,13 @@
 
 // playDrain replaces the only server of a slow service while a few requests wait for it,
 // and checks that none reaches it later than the drain bound after its node has confirmed
-// that it leaves.
+// that it leaves. The server ends some time after that bound.
 func playDrain(f *fleet, trouble bool) bool {
 	f.build("desk", "records", "records")
 	work := func(*http.Request) time.Duration { return slowWork }
 	f.nodes[0].startServer("i-desk-1", 20, func(*http.Request) time.Duration { return 10 * time.Millisecond })
 	leaving := f.nodes[1].startServer("i-records-1", slowSlots, work)
-	f.declare(recordsRoutes("idempotent"))
+	f.declare(recordsRoutes("non_idempotent"))
 	f.waitReady()
 	time.Sleep(3 * time.Second)
 	c := &clients{fleet: f}
@@ -81,7 +84,7 @@
 			c.group.Add(1)
 			go func() {
 				defer c.group.Done()
-				c.send(f.nodes[0], "GET", "records.example", "/records/one", timeLimit)
+				c.send(f.nodes[0], "POST", "records.example", "/records/new", timeLimit)
 			}()
 		}
 	}
@@ -99,13 +102,18 @@
 		f.nodes[2].startServer("i-records-2", slowSlots, work)
 		confirmed = leaving.drain()
 		f.record.add("%s: leaves, confirmed at %s", leaving.id, f.record.at(confirmed))
+		time.Sleep(time.Until(confirmed.Add(drainBound + longerThanDrain)))
+		leaving.deregister()
 	}
 	c.group.Wait()
-	late, answered := 0, 0
+	late, cut, answered := 0, 0, 0
 	for _, e := range leaving.executions() {
 		if trouble && e.arrived.After(confirmed.Add(drainBound+drainSlack)) {
 			late++
 			f.record.add("rule: request %s reached %s %.3f s after the confirmation", e.id, leaving.id, e.arrived.Sub(confirmed).Seconds())
+			if e.end.IsZero() {
+				cut++
+			}
 		}
 	}
 	for _, a := range c.all() {
@@ -113,7 +121,7 @@
 			answered++
 		}
 	}
-	f.record.add("%d requests sent, %d answered with 200, %d reached the leaving server too late", len(c.all()), answered, late)
+	f.record.add("%d requests sent, %d answered with 200, %d reached the leaving server too late, %d of these were lost with it", len(c.all()), answered, late, cut)
 	if answered == 0 {
 		panic("nothing was served")
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -32,6 +32,8 @@
 	sequence int
 	state    string
 	runs     []*execution
+	conns    map[net.Conn]bool
+	ended    bool
 }
 
 // execution is a request that has reached the server.
@@ -43,7 +45,7 @@
 
 // startServer starts the server of a machine, and its status reports.
 func (m *machine) startServer(id string, slots int, work func(r *http.Request) time.Duration) *server {
-	s := &server{machine: m, id: id, slots: slots, born: time.Now().UnixMilli(), work: work, running: make(chan struct{}, slots), stop: make(chan struct{}), state: "ready"}
+	s := &server{machine: m, id: id, slots: slots, born: time.Now().UnixMilli(), work: work, running: make(chan struct{}, slots), stop: make(chan struct{}), state: "ready", conns: map[net.Conn]bool{}}
 	l, err := net.Listen("tcp", m.address(portApp))
 	check(err)
 	s.listener = l
@@ -59,6 +61,9 @@
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
 		go s.serve(c)
 	}
 }
@@ -107,6 +112,9 @@
 	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
 		limit = time.Duration(ms) * time.Millisecond
 	}
+	if s.hasEnded() {
+		return 0, "", ""
+	}
 	select {
 	case s.running <- struct{}{}:
 	case <-time.After(limit):
@@ -124,6 +132,9 @@
 	left := limit - time.Since(e.arrived)
 	work := s.work(r)
 	time.Sleep(min(work, left))
+	if s.hasEnded() {
+		return 0, "", ""
+	}
 	s.mu.Lock()
 	e.end = time.Now()
 	s.mu.Unlock()
@@ -150,7 +161,7 @@
 
 // report sends status reports until the case ends.
 func (s *server) report() {
-	for {
+	for !s.hasEnded() {
 		s.sendReport()
 		select {
 		case <-s.stop:
@@ -195,3 +206,33 @@
 	}
 	return time.Now()
 }
+
+// deregister reports that the server is gone, and ends it: its connections are closed.
+func (s *server) deregister() {
+	f := s.machine.fleet
+	body, err := json.Marshal(map[string]any{"born": s.born})
+	check(err)
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Post("http://"+s.machine.address(portControl)+"/Instances.Deregister/"+s.id, "application/json", bytes.NewReader(body))
+	check(err)
+	response.Body.Close()
+	f.record.add("%s: deregisters, answer %d, and ends", s.id, response.StatusCode)
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for _, e := range s.runs {
+		if !e.began.IsZero() && e.end.IsZero() {
+			f.record.add("%s: request %s is cut by its end", s.id, e.id)
+		}
+	}
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *server) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
