Review: case 8, a departure is forgotten when all processes end

Case: a final fault right after a server's departure was confirmed: all processes are killed and start again. A late report of the server makes its node announce it anew.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -84,12 +84,15 @@
 			ip: fmt.Sprintf("%s%d", f.prefix, i+10), service: service, takesNewWork: true,
 		})
 	}
-	for i, m := range append(append([]*machine{}, f.cores...), f.nodes...) {
+	for i, m := range f.machines() {
 		m.writeSettings(string(rune('a' + i%3)))
 		m.start()
 	}
 }
 
+// machines returns all machines.
+func (f *fleet) machines() []*machine { return append(append([]*machine{}, f.cores...), f.nodes...) }
+
 func (f *fleet) portsFree(machines int) bool {
 	for i := 1; i < 20; i++ {
 		for _, port := range []int{portControl, portReady, portApp, portOutbound, portInternal, 9464} {
@@ -178,7 +181,7 @@
 	for _, c := range closers {
 		c()
 	}
-	for _, m := range append(append([]*machine{}, f.cores...), f.nodes...) {
+	for _, m := range f.machines() {
 		if m.process == nil {
 			continue
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,9 +19,9 @@
 
 // cases maps the name of a case to what plays it. It returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) bool{
-	"drain": playDrain,
-	"stop":  playStop,
-	"extra": playExtra,
+	"extra":  playExtra,
+	"stop":   playStop,
+	"forget": playForget,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -33,7 +33,8 @@
 	state    string
 	runs     []*execution
 	conns    map[net.Conn]bool
-	ended    bool
+	// silent is set once the server reports nothing more, ended once it serves no more.
+	silent, ended bool
 }
 
 // execution is a request that has reached the server.
@@ -161,7 +162,7 @@
 
 // report sends status reports until the case ends.
 func (s *server) report() {
-	for !s.hasEnded() {
+	for s.reports() {
 		s.sendReport()
 		select {
 		case <-s.stop:
@@ -175,48 +176,61 @@
 // was acknowledged.
 func (s *server) sendReport() bool {
 	s.mu.Lock()
+	state := s.state
+	s.mu.Unlock()
+	status := s.post("Heartbeat", s.nextReport())
+	if state != "ready" {
+		s.machine.fleet.record.add("%s: status report %q, answer %d", s.id, state, status)
+	}
+	return status/100 == 2
+}
+
+// nextReport returns the next status report.
+func (s *server) nextReport() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
 	body, err := json.Marshal(map[string]any{
 		"address": s.machine.address(portApp), "born": s.born,
 		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": "zone-a", "slots": s.slots},
 		"status": map[string]any{"state": s.state, "sequence": s.sequence, "cold_remaining": "0ms"},
 	})
-	state := s.state
-	s.mu.Unlock()
 	check(err)
-	client := &http.Client{Timeout: time.Second}
-	response, err := client.Post("http://"+s.machine.address(portControl)+"/Instances.Heartbeat/"+s.id, "application/json", bytes.NewReader(body))
+	return body
+}
+
+// post sends a call of the server to the node of its machine, and returns the status of the
+// answer; 0 if there is none.
+func (s *server) post(call string, body []byte) int {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Post("http://"+s.machine.address(portControl)+"/Instances."+call+"/"+s.id, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return false
+		return 0
 	}
 	response.Body.Close()
-	if state != "ready" {
-		s.machine.fleet.record.add("%s: status report %q, answer %d", s.id, state, response.StatusCode)
-	}
-	return response.StatusCode/100 == 2
+	return response.StatusCode
 }
 
-// drain reports that the server leaves, and returns when that was first acknowledged.
-func (s *server) drain() time.Time {
+// depart deregisters a server that serves on for some time and reports nothing more, and
+// returns when that was acknowledged.
+func (s *server) depart() time.Time {
+	body, err := json.Marshal(map[string]any{"born": s.born})
+	check(err)
 	s.mu.Lock()
-	s.state = "draining"
+	s.silent = true
 	s.mu.Unlock()
-	for !s.sendReport() {
-		time.Sleep(200 * time.Millisecond)
+	for {
+		if status := s.post("Deregister", body); status/100 == 2 {
+			s.machine.fleet.record.add("%s: deregisters and serves on, answer %d", s.id, status)
+			return time.Now()
+		}
 	}
-	return time.Now()
 }
 
-// deregister reports that the server is gone, and ends it: its connections are closed.
-func (s *server) deregister() {
+// end ends the server: its connections are closed.
+func (s *server) end() {
 	f := s.machine.fleet
-	body, err := json.Marshal(map[string]any{"born": s.born})
-	check(err)
-	client := &http.Client{Timeout: time.Second}
-	response, err := client.Post("http://"+s.machine.address(portControl)+"/Instances.Deregister/"+s.id, "application/json", bytes.NewReader(body))
-	check(err)
-	response.Body.Close()
-	f.record.add("%s: deregisters, answer %d, and ends", s.id, response.StatusCode)
+	f.record.add("%s: ends", s.id)
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -236,3 +250,10 @@
 	defer s.mu.Unlock()
 	return s.ended
 }
+
+// reports tells whether the server still sends status reports.
+func (s *server) reports() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.ended && !s.silent
+}
