Review: case 7, a stop resets connections on which requests stand behind

Case: clients send lookups behind uploads that have not been answered yet; their machine gets SIGTERM. Each answer closes its connection with unread bytes, so that the kernel resets it and drops the rest of the answer. The former cases 7 and 8 are 8 and 9 now.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
 		exit 2
 	fi
 done
-exec ../../target/review-2/standin forget ../.. record.txt
+exec ../../target/review-2/standin stop ../.. record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -21,11 +20,12 @@
 	signature      string
 	body           string
 	complete       bool
-	kept, closed   bool
+	closed         bool
 	limit          time.Duration
-	idempotent     bool
 	errorText      string
 	neverConnected bool
+	// behind is set for a request that was sent behind another one.
+	behind bool
 }
 
 // clients sends requests and keeps what became of them.
@@ -40,7 +40,7 @@
 
 // send sends one request on a new connection and waits for its answer.
 func (c *clients) send(m *machine, method, host, path string, limit time.Duration) *attempt {
-	a := &attempt{id: fmt.Sprintf("r%04d", c.next.Add(1)), machine: m.name, limit: limit, idempotent: method == "GET"}
+	a := &attempt{id: fmt.Sprintf("r%04d", c.next.Add(1)), machine: m.name, limit: limit}
 	c.mu.Lock()
 	c.list = append(c.list, a)
 	c.mu.Unlock()
@@ -95,12 +95,6 @@
 	return nil
 }
 
-// isTimeout reports whether the client gave up.
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // all returns all attempts; call it after the group has ended.
 func (c *clients) all() []*attempt {
 	c.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"extra":  playExtra,
 	"stop":   playStop,
 	"forget": playForget,
+	"behind": playBehind,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/records.go
+++ b/review/standin/records.go
@@ -61,4 +61,3 @@
 	}()
 	return c, servers, func() { close(stop); <-done; c.group.Wait() }
 }
-
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,6 +34,8 @@
 	state    string
 	runs     []*execution
 	conns    map[net.Conn]bool
+	// answerBytes is the length of its answers, at least.
+	answerBytes int
 	// silent is set once the server reports nothing more, ended once it serves no more.
 	silent, ended bool
 }
@@ -144,7 +147,22 @@
 		return http.StatusGatewayTimeout, "", "Response-Signature: " + signature(s.id, id) + "\r\n"
 	}
 	f.record.add("%s: request %s has run, 200", s.id, id)
-	return http.StatusOK, "done " + id, "Response-Signature: " + signature(s.id, id) + "\r\n"
+	return http.StatusOK, s.body(id), "Response-Signature: " + signature(s.id, id) + "\r\n"
+}
+
+// setAnswerBytes sets the length of the answers.
+func (s *server) setAnswerBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answerBytes = n
+}
+
+// body returns the body of an answer.
+func (s *server) body(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := "done " + id
+	return text + strings.Repeat(".", max(s.answerBytes-len(text), 0))
 }
 
 func signature(server, id string) string { return "sig." + server + "." + id }
