--- a/review/standin/behind.go
+++ b/review/standin/behind.go
@@ -172,7 +172,7 @@
 	if body != "" {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: intake.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s\r\n%s", method, path, a.id, a.limit.Milliseconds(), length, body)
+	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: intake.example\r\nRequest-Id: %s\r\n%s: %d\r\n%s\r\n%s", method, path, a.id, names.Deadline, a.limit.Milliseconds(), length, body)
 	a.sent = time.Now()
 	a.ended = a.sent
 	c.fleet.record.add("client at %s: sends %s %s as %s", a.machine, method, path, a.id)
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -63,7 +63,7 @@
 		body = "book " + a.id
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s\r\n%s", method, path, host, a.id, a.limit.Milliseconds(), length, body)
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: %d\r\n%s\r\n%s", method, path, host, a.id, names.Deadline, a.limit.Milliseconds(), length, body)
 	_, err := conn.Write([]byte(text))
 	a.sent = time.Now()
 	f.record.add("client at %s: sends %s %s as %s", a.machine, method, path, a.id)
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	a.status, a.signature, a.body, a.complete = response.StatusCode, response.Header.Get("Response-Signature"), string(body), true
+	a.status, a.signature, a.body, a.complete = response.StatusCode, response.Header.Get(names.Signature), string(body), true
 	a.closed = response.Close
 	return nil
 }
--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -16,7 +16,7 @@
 )
 
 // extraBytes are the additional bytes. They begin like an answer and name no request.
-const extraBytes = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+var extraBytes = "HTTP/1.1 503 Service Unavailable\r\n" + names.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 
 // playExtra sends bookings to two servers of which one is faulty: after some of its complete
 // answers it sends additional bytes, at the point where the next answer is expected. It
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -110,9 +110,9 @@
 func (m *machine) writeSettings(zone string) {
 	fields := map[string]any{
 		"node_id": m.name, "machine_class": m.class, "ip": m.ip, "zone": "zone-" + zone, "region": "region",
-		"zones":          map[string]any{"zone-a": "region", "zone-b": "region", "zone-c": "region"},
-		"internal_ports": []string{fmt.Sprint(portInternal), fmt.Sprint(portInternal + 15)},
-		"seeds":          m.fleet.seeds, "bootstrap": true, "heartbeat": "1500ms",
+		"zones":     map[string]any{"zone-a": "region", "zone-b": "region", "zone-c": "region"},
+		names.Ports: []string{fmt.Sprint(portInternal), fmt.Sprint(portInternal + 15)},
+		"seeds":     m.fleet.seeds, "bootstrap": true, "heartbeat": "1500ms",
 		"limits":          map[string]any{"memory_mb": 284, "max_fds": 4100},
 		"fault_tolerance": map[string]any{"machines": 1, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
@@ -131,7 +131,7 @@
 			"control": m.address(portControl), "ready": m.address(portReady),
 			"outbound": m.address(portOutbound), "inbound": m.address(portInbound),
 		}
-		fields["app_address"], fields["service"] = m.address(portApp), m.service
+		fields[names.Target], fields["service"] = m.address(portApp), m.service
 	}
 	text, err := os.ReadFile(filepath.Join(m.fleet.root, template))
 	check(err)
@@ -198,19 +198,34 @@
 	}
 }
 
-// route is one route of a manifest.
+// route is one route of a manifest. Path is its prefix, and Target its objective.
 type route struct {
 	Host     string `json:"hostname"`
-	Path     string `json:"path_prefix"`
+	Path     string `json:"-"`
 	Kind     string `json:"kind"`
 	Timeout  string `json:"timeout"`
-	Target   string `json:"target_latency"`
+	Target   string `json:"-"`
 	Priority int    `json:"priority"`
 	Service  string `json:"service"`
 	Attempts int    `json:"max_attempts"`
 	Public   bool   `json:"public"`
 }
 
+// MarshalJSON implements json.Marshaler.
+func (r route) MarshalJSON() ([]byte, error) {
+	type plain route
+	text, err := json.Marshal(plain(r))
+	if err != nil {
+		return nil, err
+	}
+	fields := map[string]any{}
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return nil, err
+	}
+	fields[names.Prefix], fields[names.Objective] = r.Path, r.Target
+	return json.Marshal(fields)
+}
+
 // declare sends a manifest as the operator does, until a core machine confirms it.
 func (f *fleet) declare(routes map[string]route) {
 	services := map[string]any{}
@@ -227,9 +242,9 @@
 	deadline := time.Now().Add(20 * time.Second)
 	client := &http.Client{Timeout: time.Second}
 	for i := 0; time.Now().Before(deadline); i++ {
-		r, err := http.NewRequest("POST", "http://"+f.cores[i%3].address(portControl)+"/Config.Put", bytes.NewReader(body))
+		r, err := http.NewRequest("POST", "http://"+f.cores[i%3].address(portControl)+names.Put, bytes.NewReader(body))
 		check(err)
-		r.Header.Set("Base-Version", fmt.Sprintf("%08x", base))
+		r.Header.Set(names.Base, fmt.Sprintf("%08x", base))
 		r.Header.Set("Content-Type", "application/json")
 		if response, err := client.Do(r); err == nil {
 			text, _ := io.ReadAll(response.Body)
--- a/review/standin/forget.go
+++ b/review/standin/forget.go
@@ -72,7 +72,7 @@
 		f.record.add("platform: all processes have started again")
 	}
 	time.Sleep(time.Until(confirmed.Add(reportDelay)))
-	f.record.add("%s: a status report of before its departure arrives, answer %d", leaving.id, leaving.post("Heartbeat", late))
+	f.record.add("%s: a status report of before its departure arrives, answer %d", leaving.id, leaving.post(names.Heartbeat, late))
 	time.Sleep(time.Until(confirmed.Add(longService)))
 	leaving.end()
 	time.Sleep(time.Second)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -103,9 +103,9 @@
 	if r.URL.Path == "/health" {
 		return http.StatusOK, "", "Instance-Id: " + s.id + "\r\n"
 	}
-	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != s.id {
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != s.id {
 		f.record.add("%s: request %s is for %s, 421", s.id, id, expected)
-		return http.StatusMisdirectedRequest, "", "Not-Executed: 1\r\n"
+		return http.StatusMisdirectedRequest, "", names.NotRun + ": 1\r\n"
 	}
 	e := &execution{id: id, arrived: time.Now(), server: s.id}
 	f.record.add("%s: request %s arrives", s.id, id)
@@ -113,7 +113,7 @@
 	s.runs = append(s.runs, e)
 	s.mu.Unlock()
 	limit := 30 * time.Second
-	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+	if ms, err := strconv.Atoi(r.Header.Get(names.Deadline)); err == nil {
 		limit = time.Duration(ms) * time.Millisecond
 	}
 	if s.hasEnded() {
@@ -123,7 +123,7 @@
 	case s.running <- struct{}{}:
 	case <-time.After(limit):
 		f.record.add("%s: request %s has not run, its time limit passed in the queue", s.id, id)
-		return http.StatusServiceUnavailable, "", "Not-Executed: 1\r\n"
+		return http.StatusServiceUnavailable, "", names.NotRun + ": 1\r\n"
 	}
 	defer func() { <-s.running }()
 	s.mu.Lock()
@@ -144,10 +144,10 @@
 	s.mu.Unlock()
 	if work > left {
 		f.record.add("%s: request %s ends at its time limit, 504", s.id, id)
-		return http.StatusGatewayTimeout, "", "Response-Signature: " + signature(s.id, id) + "\r\n"
+		return http.StatusGatewayTimeout, "", names.Signature + ": " + signature(s.id, id) + "\r\n"
 	}
 	f.record.add("%s: request %s has run, 200", s.id, id)
-	return http.StatusOK, s.body(id), "Response-Signature: " + signature(s.id, id) + "\r\n"
+	return http.StatusOK, s.body(id), names.Signature + ": " + signature(s.id, id) + "\r\n"
 }
 
 // setAnswerBytes sets the length of the answers.
@@ -196,7 +196,7 @@
 	s.mu.Lock()
 	state := s.state
 	s.mu.Unlock()
-	status := s.post("Heartbeat", s.nextReport())
+	status := s.post(names.Heartbeat, s.nextReport())
 	if state != "ready" {
 		s.machine.fleet.record.add("%s: status report %q, answer %d", s.id, state, status)
 	}
@@ -211,7 +211,7 @@
 	body, err := json.Marshal(map[string]any{
 		"address": s.machine.address(portApp), "born": s.born,
 		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": "zone-a", "slots": s.slots},
-		"status": map[string]any{"state": s.state, "sequence": s.sequence, "cold_remaining": "0ms"},
+		"status": map[string]any{"state": s.state, "sequence": s.sequence, names.Cold: "0ms"},
 	})
 	check(err)
 	return body
@@ -221,7 +221,7 @@
 // answer; 0 if there is none.
 func (s *server) post(call string, body []byte) int {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Post("http://"+s.machine.address(portControl)+"/Instances."+call+"/"+s.id, "application/json", bytes.NewReader(body))
+	response, err := client.Post("http://"+s.machine.address(portControl)+call+s.id, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -238,7 +238,7 @@
 	s.silent = true
 	s.mu.Unlock()
 	for {
-		if status := s.post("Deregister", body); status/100 == 2 {
+		if status := s.post(names.Deregister, body); status/100 == 2 {
 			s.machine.fleet.record.add("%s: deregisters and serves on, answer %d", s.id, status)
 			return time.Now()
 		}
