--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -222,7 +222,10 @@
 	if err := json.Unmarshal(text, &fields); err != nil {
 		return nil, err
 	}
-	fields[names.Prefix], fields[names.Objective] = r.Path, r.Target
+	fields[names.Prefix] = r.Path
+	if r.Target != "" {
+		fields[names.Objective] = r.Target
+	}
 	return json.Marshal(fields)
 }
 
