--- a/pkg/bounder/bounder.go
+++ b/pkg/bounder/bounder.go
@@ -82,6 +82,8 @@
 	// unanswered and idle hold the slots that read a head, on which no request has been
 	// answered yet, and on which one has; the one that has read for longest comes first.
 	unanswered, idle list.List
+	// lingering holds the slots that wait for their peers to close, the longest first.
+	lingering list.List
 }
 
 // phase is what a connection does.
@@ -92,6 +94,8 @@
 	reading phase = iota
 	// running: its request has reached the handler.
 	running
+	// lingering: it is closed for writing and waits for its peer to close.
+	lingering
 	// ended: it is closed, or has given way.
 	ended
 )
@@ -108,6 +112,7 @@
 	waiting, counted place
 	answered         bool
 	countedSince     time.Time
+	lingeringSince   time.Time
 	head             head
 	cost             int64
 }
@@ -140,7 +145,7 @@
 	b := g.bounder
 	b.mu.Lock()
 	var victim *Slot
-	if limit := b.limits.Connections; limit > 0 && (b.open >= limit || float64(g.open) >= float64(limit)*gateShare) {
+	if g.full() {
 		if victim = b.connectionVictim(g); victim == nil {
 			b.mu.Unlock()
 			return nil
@@ -158,24 +163,43 @@
 	return s
 }
 
-// connectionVictim returns the connection that gives way to a new one at a gate: the one
-// that has been reading its first head for longest, or at the same gate the one that has
-// been idle for longest. Idle connections of other listeners stay: a node that sends on one
-// that is being closed could not tell whether its request has run.
+// full reports whether no more connections may be open at a gate.
+func (g *Gate) full() bool {
+	limit := g.bounder.limits.Connections
+	return limit > 0 && (g.bounder.open >= limit || float64(g.open) >= float64(limit)*gateShare)
+}
+
+// connectionVictim returns the connection that gives way to a new one at a gate: one that
+// has lingered for holdTime, the one that has been reading its first head for longest, or at
+// the same gate another that lingers or the one that has been idle for longest. Idle
+// connections of other listeners stay: a node that sends on one that is being closed could
+// not tell whether its request has run.
 func (b *Bounder) connectionVictim(g *Gate) *Slot {
-	if s := first(&g.unanswered); s != nil {
+	if s := b.earlyVictim(g); s != nil {
 		return s
 	}
 	if float64(g.open) < float64(b.limits.Connections)*gateShare {
 		for _, other := range b.gates {
-			if s := first(&other.unanswered); s != nil {
+			if s := b.earlyVictim(other); s != nil {
 				return s
 			}
 		}
 	}
+	if s := first(&g.lingering); s != nil {
+		return s
+	}
 	return first(&g.idle)
 }
 
+// earlyVictim returns the connection of a gate that gives way to those of all gates, if
+// there is one.
+func (b *Bounder) earlyVictim(g *Gate) *Slot {
+	if s := first(&g.lingering); s != nil && b.clock.Now().Sub(s.lingeringSince) >= holdTime {
+		return s
+	}
+	return first(&g.unanswered)
+}
+
 // Read counts bytes that were read from a connection. Others, or the connection itself, may
 // have to give way; it returns the cause if the connection itself must end.
 func (s *Slot) Read(p []byte) Cause {
@@ -297,6 +321,26 @@
 	s.waiting.enter(&s.gate.idle, s)
 }
 
+// Linger records that a connection waits for its peer to close. It returns false if the
+// connection was refused and has lost its place to another meanwhile.
+func (s *Slot) Linger() bool {
+	b := s.gate.bounder
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.phase == ended {
+		if s.gate.full() {
+			return false
+		}
+		b.open++
+		s.gate.open++
+	} else {
+		s.release()
+	}
+	s.cost, s.phase, s.lingeringSince = 0, lingering, b.clock.Now()
+	s.waiting.enter(&s.gate.lingering, s)
+	return true
+}
+
 // Close records that a connection is closed.
 func (s *Slot) Close() {
 	s.gate.bounder.mu.Lock()
@@ -308,6 +352,15 @@
 
 // end takes a slot out of all counts, but for the garbage that a head leaves. Its connection is closed by the caller.
 func (s *Slot) end() {
+	b := s.gate.bounder
+	s.release()
+	s.phase, s.cost = ended, 0
+	b.open--
+	s.gate.open--
+}
+
+// release takes a slot out of its lists, and its head and body out of the memory used.
+func (s *Slot) release() {
 	b := s.gate.bounder
 	s.leaveLists()
 	if s.phase == reading && s.cost > 0 {
@@ -315,9 +368,6 @@
 	} else {
 		b.used -= s.cost
 	}
-	s.phase, s.cost = ended, 0
-	b.open--
-	s.gate.open--
 }
 
 func (s *Slot) leaveLists() {
--- a/pkg/bounder/bounder_test.go
+++ b/pkg/bounder/bounder_test.go
@@ -114,3 +114,43 @@
 		s.Idle()
 	}
 }
+
+// TestLingeringConnectionsGiveWay guards against callers that never close their connections
+// and keep out others, and against an answer on its way that is cut while there are others
+// to cut.
+func TestLingeringConnectionsGiveWay(t *testing.T) {
+	e := &evictions{}
+	clock := &timekeeper.Manual{}
+	b := New(Limits{Connections: 8}, clock, e.add)
+	g := b.Gate()
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		s := g.Admit(name)
+		s.Begin(0)
+		qt.Assert(t, s.Linger(), qt.IsTrue)
+	}
+	g.Admit("reads")
+	g.Admit("new")
+	qt.Assert(t, e.list, qt.DeepEquals, []string{"reads connections"})
+	clock.Advance(holdTime)
+	g.Admit("later")
+	qt.Assert(t, e.list, qt.DeepEquals, []string{"reads connections", "a connections"})
+	connections, bytes := b.Usage()
+	qt.Assert(t, connections, qt.Equals, 7)
+	qt.Assert(t, bytes, qt.Equals, int64(0))
+}
+
+// TestRefusedConnectionCountsWhileItLingers guards against descriptors that are not counted,
+// those of connections that were refused and wait for their callers to close.
+func TestRefusedConnectionCountsWhileItLingers(t *testing.T) {
+	e := &evictions{}
+	b := New(Limits{Connections: 8, Lines: 1}, &timekeeper.Manual{}, e.add)
+	g := b.Gate()
+	s := g.Admit("refused")
+	qt.Assert(t, s.Read([]byte("GET / HTTP/1.1\r\na: b\r\nc: d\r\n")), qt.Equals, TooManyLines)
+	qt.Assert(t, s.Linger(), qt.IsTrue)
+	connections, _ := b.Usage()
+	qt.Assert(t, connections, qt.Equals, 1)
+	s.Close()
+	connections, _ = b.Usage()
+	qt.Assert(t, connections, qt.Equals, 0)
+}
--- a/pkg/server/bounded_listener.go
+++ b/pkg/server/bounded_listener.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosewall/primrosewall/pkg/bounder"
+	"github.com/primrosewall/primrosewall/pkg/closer"
 	"github.com/primrosewall/primrosewall/pkg/forwarder"
 )
 
@@ -40,7 +42,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &boundedConn{Conn: raw, listener: l}
+		c := &boundedConn{Conn: raw.(*closer.Conn), listener: l}
 		if c.slot = l.gate.Admit(c); c.slot != nil {
 			return c, nil
 		}
@@ -51,9 +53,10 @@
 
 // boundedConn is a connection of a boundedListener.
 type boundedConn struct {
-	net.Conn
+	*closer.Conn
 	listener *boundedListener
 	slot     *bounder.Slot
+	closed   atomic.Bool
 }
 
 // Read implements net.Conn. It ends a connection that has to, with a refusal if it can.
@@ -71,19 +74,16 @@
 	return 0, io.EOF
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. While the connection lingers it counts, and gives way to
+// others.
 func (c *boundedConn) Close() error {
-	c.slot.Close()
-	return c.Conn.Close()
-}
-
-// SetLinger sets what becomes of unsent data when the connection is closed.
-func (c *boundedConn) SetLinger(seconds int) error {
-	t, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return errors.ErrUnsupported
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	if !c.slot.Linger() {
+		return c.CloseNow()
 	}
-	return t.SetLinger(seconds)
+	return c.CloseThen(c.slot.Close)
 }
 
 // boundRefusal returns the refusal for a cause.
@@ -137,15 +137,32 @@
 
 // boundedConnOf returns the connection that the process counts.
 func boundedConnOf(c net.Conn) *boundedConn {
+	b, _ := withoutTLS(c).(*boundedConn)
+	return b
+}
+
+// withoutTLS returns the connection under that of a TLS listener.
+func withoutTLS(c net.Conn) net.Conn {
 	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
+		return t.NetConn()
+	}
+	return c
+}
+
+// connectionIdle records that a connection has been answered and waits for its next
+// request.
+func connectionIdle(c net.Conn) {
+	switch c := withoutTLS(c).(type) {
+	case *boundedConn:
+		c.slot.Idle()
+		c.Idle()
+	case *closer.Conn:
+		c.Idle()
 	}
-	b, _ := c.(*boundedConn)
-	return b
 }
 
 // boundListener makes the connections of a server count in the bounds of the process, if
-// there are any.
+// there are any. The connections of socket are of type *closer.Conn.
 func (s *Server) boundListener(server *http.Server, socket net.Listener, useTLS bool, refuse func(http.ResponseWriter, *forwarder.Refusal)) net.Listener {
 	if s.bounds == nil {
 		return socket
@@ -153,11 +170,6 @@
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, boundedConnKey{}, boundedConnOf(c))
 	}
-	server.ConnState = func(c net.Conn, state http.ConnState) {
-		if b := boundedConnOf(c); b != nil && state == http.StateIdle {
-			b.slot.Idle()
-		}
-	}
 	server.Handler = &boundedHandler{server: s, next: server.Handler, refuse: refuse}
 	return &boundedListener{Listener: socket, server: s, gate: s.bounds.Gate(), refuse: refuse, useTLS: useTLS}
 }
@@ -189,7 +201,7 @@
 // evict closes a connection that gives way to others.
 func (s *Server) evict(slot *bounder.Slot, cause bounder.Cause) {
 	s.boundsLog.count(cause)
-	if err := slot.Conn.(*boundedConn).Conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := slot.Conn.(*boundedConn).CloseNow(); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.countEvent("connection_errors", 1)
 	}
 }
--- a/pkg/server/listeners.go
+++ b/pkg/server/listeners.go
@@ -52,6 +52,11 @@
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				connectionIdle(c)
+			}
+		},
 		ErrorLog: slog.NewLogLogger(slog.NewTextHandler(countingLog{s.countEvent}, nil), slog.LevelError),
 	}
 	if useTLS {
@@ -59,7 +64,7 @@
 		server.MaxHeaderBytes += hopHeaderBytes
 		server.TLSNextProto = map[string]func(*http.Server, *tls.Conn, http.Handler){}
 	}
-	return &listener{server: server, socket: s.boundListener(server, socket, useTLS, refuse), useTLS: useTLS}, nil
+	return &listener{server: server, socket: s.boundListener(server, s.closer.Listen(socket), useTLS, refuse), useTLS: useTLS}, nil
 }
 
 // peerHandler serves other nodes: control messages and hops to this node's
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/primrosewall/primrosewall/pkg/auditor"
 	"github.com/primrosewall/primrosewall/pkg/bounder"
 	"github.com/primrosewall/primrosewall/pkg/caller"
+	"github.com/primrosewall/primrosewall/pkg/closer"
 	"github.com/primrosewall/primrosewall/pkg/configurer"
 	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/declarer"
@@ -116,6 +117,8 @@
 	// bounds are nil where the settings name none.
 	bounds    *bounder.Bounder
 	boundsLog *boundsLog
+	// closer closes the connections of all listeners.
+	closer closer.Closer
 
 	metrics  *expvar.Map
 	measurer *measurer.Measurer
--- a/pkg/server/stop.go
+++ b/pkg/server/stop.go
@@ -33,6 +33,10 @@
 			s.reportError("shutdown", err)
 		}
 	}
+	if err := s.closer.Wait(ctx); err != nil {
+		// Their callers have stopped reading: the process may end before them.
+		s.log.Warn("linger", "connections", s.closer.Lingering())
+	}
 }
 
 // waitSinceStop waits until d has passed since the stop began, or until ctx ends.
