--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -79,6 +79,12 @@
 	TargetLost()
 }
 
+// Recorder keeps departures where they outlive the processes of all nodes.
+type Recorder interface {
+	// Record returns nil once the departure of a life is kept.
+	Record(ctx context.Context, life string) error
+}
+
 // Announcer tracks the own target through its lives.
 type Announcer struct {
 	clock    timekeeper.Clock
@@ -105,6 +111,8 @@
 	departures departures
 	// cold is told how long the target stays cold; it may be nil.
 	cold ColdObserver
+	// recorder keeps departures; nil if they are kept in memory only.
+	recorder Recorder
 }
 
 // Report is an announcement in a fleet whose targets report at a fixed interval
@@ -260,6 +268,20 @@
 	a.departures.addTarget(name, a.clock.Now())
 }
 
+// SetRecorder names who keeps departures. It must be called before the first
+// announcement.
+func (a *Announcer) SetRecorder(r Recorder) { a.recorder = r }
+
+// Record returns nil once the departure of a life outlives all processes. Before that it
+// must not be acknowledged to the target, although it has taken effect: a report of the same
+// life may still be under way.
+func (a *Announcer) Record(ctx context.Context, life string) error {
+	if a.recorder == nil || life == "" {
+		return nil
+	}
+	return a.recorder.Record(ctx, life)
+}
+
 // ReportMisdirected removes a target in whose place another one has answered.
 func (a *Announcer) ReportMisdirected(t *forwarder.Target) {
 	a.mu.Lock()
@@ -411,6 +433,10 @@
 			return
 		}
 	}
+	if err := a.Record(r.Context(), ann.Life); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -33,6 +33,7 @@
 		&silenceLog{server: s},
 		s.boundsLog,
 		&coldWatcher{server: s},
+		&departureLearner{server: s},
 	}
 	if s.folder != nil {
 		list = append(list, &joiner{s}, &acceptedReader{server: s}, &recordCopier{server: s}, &auditWriter{s}, &abstentionEnder{s})
@@ -61,10 +62,21 @@
 // runEvery calls step at once and then again after each interval, until the
 // context ends.
 func (s *Server) runEvery(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	s.runUntil(ctx, interval, func(ctx context.Context) bool {
+		step(ctx)
+		return false
+	})
+}
+
+// runUntil is runEvery that ends when step returns true.
+func (s *Server) runUntil(ctx context.Context, interval time.Duration, step func(context.Context) bool) {
 	for {
 		bounded, cancel := context.WithTimeout(ctx, stepTimeout)
-		step(bounded)
+		done := step(bounded)
 		cancel()
+		if done {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -205,13 +217,17 @@
 	if c.epoch != own.Epoch {
 		c.epoch, c.started = own.Epoch, s.clock.Now()
 	}
-	records, ok := c.collectRecords(ctx, former, own.Epoch)
+	records, departures, ok := c.collectRecords(ctx, former, own.Epoch)
 	// If a majority of the former set is lost, its records cannot be read. After
 	// RetentionPeriod they have expired, so the replica goes on without them.
 	if !ok && s.clock.Now().Sub(c.started) < deduplicator.RetentionPeriod {
 		return
 	}
 	faulter.Reach(faulter.RecordsCopied)
+	if err := s.departures.Add(departures...); err != nil {
+		s.reportError("copy", err)
+		return
+	}
 	if err := s.store.Complete(own.Epoch, records); err != nil {
 		s.reportError("copy", err)
 		return
@@ -219,23 +235,23 @@
 	s.log.Info("copy", "epoch", own.Epoch, "records", len(records))
 }
 
-// collectRecords reads the claim records of the former set, and reports whether a
-// majority of it has answered. A member counts only if it no longer votes in the
+// collectRecords reads the claim records and the departures of the former set, and reports
+// whether a majority of it has answered. A member counts only if it no longer votes in the
 // former epoch and had all records of that epoch.
-func (c *recordCopier) collectRecords(ctx context.Context, former []*control.Member, epoch uint64) ([]*control.Record, bool) {
+func (c *recordCopier) collectRecords(ctx context.Context, former []*control.Member, epoch uint64) (records []*control.Record, departures []*control.Departure, majority bool) {
 	replies := askAll(ctx, former, func(ctx context.Context, m *control.Member) (*control.RecordsReply, error) {
 		return c.server.caller.Replica(m.Address).Records(ctx, &control.RecordsRequest{Replica: m.Identity})
 	})
-	var records []*control.Record
 	complete := 0
 	for _, reply := range replies {
+		departures = append(departures, reply.Departures...)
 		if reply.Epoch < epoch || reply.Complete+1 < epoch {
 			continue
 		}
 		records = append(records, reply.Records...)
 		complete++
 	}
-	return records, len(former) == 0 || complete > len(former)/2
+	return records, departures, len(former) == 0 || complete > len(former)/2
 }
 
 var errNoHistory = errors.New("the replica has none of the entries that are missing")
--- a/pkg/server/interface.go
+++ b/pkg/server/interface.go
@@ -43,11 +43,13 @@
 	// of the register.
 	IsReplica() bool
 	// Report processes a report of this node's target. It returns an
-	// *announcer.IgnoredError if the report has no effect.
-	Report(r announcer.Report) error
+	// *announcer.IgnoredError if the report has no effect, and an *UncertainError if it
+	// states that the target leaves and that is not on enough disks yet.
+	Report(ctx context.Context, r announcer.Report) error
 	// End records that a life of this node's target has ended, also if the node does
-	// not know that life.
-	End(life string)
+	// not know that life. It returns an *UncertainError if that is not on enough disks
+	// yet.
+	End(ctx context.Context, life string) error
 	// EndTarget records that all lives of a target up to now have ended.
 	EndTarget(name string)
 	// Life identifies the current run of this node's target; empty when there is no
@@ -144,19 +146,30 @@
 func (c *controlBackend) IsReplica() bool { return c.server.folder != nil }
 
 // Report implements ControlBackend.
-func (c *controlBackend) Report(r announcer.Report) error {
+func (c *controlBackend) Report(ctx context.Context, r announcer.Report) error {
 	s := c.server
 	if r.Address == "" {
 		r.Address = s.live.Load().Target
 	}
-	return s.announcer.Report(r, s.live.Load().Drain.Duration)
+	if err := s.announcer.Report(r, s.live.Load().Drain.Duration); err != nil || !r.Leaving {
+		return err
+	}
+	return c.record(ctx, r.Life)
 }
 
 // End implements ControlBackend.
-func (c *controlBackend) End(life string) {
+func (c *controlBackend) End(ctx context.Context, life string) error {
 	s := c.server
 	s.log.Info("target_end", "life", life)
 	s.announcer.End(life, s.live.Load().Drain.Duration)
+	return c.record(ctx, life)
+}
+
+func (c *controlBackend) record(ctx context.Context, life string) error {
+	if err := c.server.announcer.Record(ctx, life); err != nil {
+		return &UncertainError{Err: err}
+	}
+	return nil
 }
 
 // EndTarget implements ControlBackend.
--- a/pkg/server/listeners.go
+++ b/pkg/server/listeners.go
@@ -74,7 +74,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.PathPrefix(), limitBody(peer))
 	if s.folder != nil {
-		replica := control.NewReplicaServer(&replicaService{acceptor: s.acceptor, store: s.store})
+		replica := control.NewReplicaServer(&replicaService{acceptor: s.acceptor, store: s.store, departures: s.departures})
 		mux.Handle(replica.PathPrefix(), limitBody(replica))
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/server/replica_requests.go
+++ b/pkg/server/replica_requests.go
@@ -18,6 +18,8 @@
 	reply  R
 	err    error
 	done   chan struct{}
+	// result, if not nil, receives err too.
+	result chan<- error
 }
 
 func (r *replicaRequest[R]) run(ctx context.Context) {
@@ -25,6 +27,9 @@
 	defer cancel()
 	r.reply, r.err = r.send(ctx, r.member)
 	close(r.done)
+	if r.result != nil {
+		r.result <- r.err
+	}
 }
 
 // askAll sends a request to all replicas concurrently. It returns the replies of
@@ -45,6 +50,30 @@
 	return replies
 }
 
+// countReplies sends a request to all replicas concurrently. It returns how many have
+// replied, once enough have or no other can.
+func countReplies[R any](ctx context.Context, members []*control.Member, enough int, send func(context.Context, *control.Member) (R, error)) (replied int) {
+	results := make(chan error, len(members))
+	for _, m := range members {
+		r := &replicaRequest[R]{member: m, send: send, done: make(chan struct{}), result: results}
+		go r.run(context.WithoutCancel(ctx))
+	}
+	for range members {
+		select {
+		case err := <-results:
+			if err == nil {
+				replied++
+			}
+		case <-ctx.Done():
+			return replied
+		}
+		if replied >= enough {
+			break
+		}
+	}
+	return replied
+}
+
 // askInTurn sends a request to one replica after the other until one replies. It
 // returns that reply, or the last error.
 func askInTurn[R any](ctx context.Context, members []*control.Member, send func(context.Context, *control.Member) (R, error)) (reply R, err error) {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/primrosewall/primrosewall/pkg/limiter"
 	"github.com/primrosewall/primrosewall/pkg/measurer"
 	"github.com/primrosewall/primrosewall/pkg/quarantiner"
+	"github.com/primrosewall/primrosewall/pkg/registrar"
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/pkg/router"
 	"github.com/primrosewall/primrosewall/pkg/sealer"
@@ -81,7 +82,7 @@
 	started time.Time
 
 	// folder is the data folder. On nodes without one it is nil, as are acceptor,
-	// store and audit.
+	// store, audit and departures.
 	folder *storer.Folder
 	// founding is set if this replica may create the first configuration of the
 	// fleet.
@@ -89,6 +90,7 @@
 	acceptor   *replicator.Acceptor
 	store      *deduplicator.Store
 	audit      *auditor.Auditor
+	departures *registrar.Registrar
 	config     *enforcer.Enforcer
 	withdrawn  *withdrawer.Withdrawer
 	quarantine *quarantiner.Quarantiner
@@ -209,7 +211,14 @@
 	if err != nil {
 		return err
 	}
-	s.audit, err = auditor.Open(trail)
+	if s.audit, err = auditor.Open(trail); err != nil {
+		return err
+	}
+	departures, err := folder.OpenJournal("departures")
+	if err != nil {
+		return err
+	}
+	s.departures, err = registrar.Open(departures)
 	return err
 }
 
@@ -316,6 +325,7 @@
 	})
 	s.announcer = announcer.New(s.clock, s, s.forwarder.Inflight)
 	s.announcer.SetPlace(s.place)
+	s.announcer.SetRecorder(&departureRecorder{server: s})
 	s.applyDrains(s.config.Current())
 	s.config.Subscribe(s.applyDrains)
 	s.announcer.SetColdObserver(&ownCold{s})
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -8,6 +8,7 @@
 
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
 	"github.com/primrosewall/primrosewall/pkg/faulter"
+	"github.com/primrosewall/primrosewall/pkg/registrar"
 	"github.com/primrosewall/primrosewall/pkg/replicator"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -16,6 +17,8 @@
 type replicaService struct {
 	acceptor *replicator.Acceptor
 	store    *deduplicator.Store
+	// departures are those of the targets of all instances.
+	departures *registrar.Registrar
 	// handover excludes claims while Records reads the records. Claims check the
 	// epoch under it, so no claim of the former epoch is granted after a new
 	// member has copied the records.
@@ -72,7 +75,17 @@
 	if own.Identity != r.Replica {
 		return nil, twirpError(&replicator.IdentityError{Requested: r.Replica, Actual: own.Identity})
 	}
-	return &control.RecordsReply{Records: s.store.All(), Epoch: own.Epoch, Complete: s.store.Epoch()}, nil
+	return &control.RecordsReply{Records: s.store.All(), Epoch: own.Epoch, Complete: s.store.Epoch(), Departures: s.departures.All()}, nil
+}
+
+// Depart implements control.Replica.
+func (s *replicaService) Depart(_ context.Context, r *control.DepartRequest) (*control.DepartReply, error) {
+	return &control.DepartReply{}, twirpError(s.departures.Add(r.Departure))
+}
+
+// Departures implements control.Replica.
+func (s *replicaService) Departures(_ context.Context, r *control.DeparturesRequest) (*control.DeparturesReply, error) {
+	return &control.DeparturesReply{Lives: s.departures.Lives(r.Instance)}, nil
 }
 
 // twirpError turns an error into one that carries its text to another node.
