--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -73,6 +73,18 @@
 // Error implements error.
 func (e *DrainedError) Error() string { return "the data centre is drained" }
 
+// ReleasedError is the error for a request that no longer waits, since the node that has to
+// answer it stops before a run would end.
+type ReleasedError struct {
+	// Left is the time in which the node can still take an answer.
+	Left time.Duration
+}
+
+// Error implements error.
+func (e *ReleasedError) Error() string {
+	return fmt.Sprintf("a run would not end in the %v that are left", max(e.Left, 0))
+}
+
 // Admitter admits requests to one target. It admits none until SetSlots is called.
 type Admitter struct {
 	clock     timekeeper.Clock
@@ -177,6 +189,22 @@
 	return len(waiting)
 }
 
+// Release rejects the requests of one sender that wait, or all if sender is 0, with a
+// *ReleasedError, if a run that begins now would last longer than the time left. Running
+// ones are not affected. It returns their number.
+func (a *Admitter) Release(sender uint64, left time.Duration) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.serviceTime() < left {
+		return 0
+	}
+	released := a.queue.extract(func(w *waiter) bool { return sender == 0 || w.sender == sender })
+	for _, w := range released {
+		w.result <- &ReleasedError{Left: left}
+	}
+	return len(released)
+}
+
 // Ticket represents an admitted request; Done must be called exactly once.
 type Ticket struct {
 	admitter *Admitter
@@ -200,8 +228,9 @@
 
 // Admit waits for a slot, at most for the queue timeout. It returns an
 // *OverloadError if the request got none, a *PacedError if that was for the limit
-// that the target names, a *DrainedError if the data centre is drained, or an error that
-// wraps the context's error if the context was done first.
+// that the target names, a *DrainedError if the data centre is drained, a *ReleasedError if
+// Release has rejected it, or an error that wraps the context's error if the context was
+// done first.
 func (a *Admitter) Admit(ctx context.Context, team string, p Priority) (*Ticket, error) {
 	return a.AdmitRequest(ctx, Request{Team: team, Priority: p, Weight: 1})
 }
@@ -220,6 +249,8 @@
 	// UseObjectives.
 	Objective       time.Duration
 	DueAt, Deadline time.Time
+	// Sender identifies the process that waits for the answer, see Release.
+	Sender uint64
 }
 
 // AdmitRequest is Admit with all that is known of the request.
@@ -242,7 +273,7 @@
 		a.mu.Unlock()
 		return t, nil
 	}
-	w := &waiter{team: r.Team, priority: r.Priority, since: now, result: make(chan error, 1)}
+	w := &waiter{team: r.Team, priority: r.Priority, since: now, sender: r.Sender, result: make(chan error, 1)}
 	if err := a.bound(w, r); err != nil {
 		a.mu.Unlock()
 		return nil, err
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -17,6 +17,8 @@
 	// paced is set if it had to wait for the limit that the target names, for the bound
 	// of a cold target, or for a target that is held back.
 	paced bool
+	// sender is the process that waits for the answer.
+	sender uint64
 	// begunAt is when it got its slot.
 	begunAt time.Time
 	// result receives nil when the request may run, or the error that rejects it.
@@ -160,26 +162,23 @@
 
 // clear removes and returns all waiters.
 func (q *queue) clear() []*waiter {
-	var all []*waiter
-	for class := range classCount {
-		for _, t := range q.classes[class] {
-			all = append(all, t.waiters...)
-		}
-		q.classes[class] = nil
-	}
-	q.size = 0
-	return all
+	return q.extract(func(*waiter) bool { return true })
 }
 
 // expire removes and returns the waiters whose queue timeout has passed.
 func (q *queue) expire(now time.Time) []*waiter {
-	var expired []*waiter
+	return q.extract(func(w *waiter) bool { return w.expiresAt.Before(now) })
+}
+
+// extract removes and returns the waiters that match.
+func (q *queue) extract(matches func(*waiter) bool) []*waiter {
+	var extracted []*waiter
 	for class := range classCount {
 		for _, t := range q.classes[class] {
 			kept := t.waiters[:0:0]
 			for _, w := range t.waiters {
-				if w.expiresAt.Before(now) {
-					expired = append(expired, w)
+				if matches(w) {
+					extracted = append(extracted, w)
 					continue
 				}
 				kept = append(kept, w)
@@ -187,6 +186,6 @@
 			t.waiters = kept
 		}
 	}
-	q.size -= len(expired)
-	return expired
+	q.size -= len(extracted)
+	return extracted
 }
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -29,10 +29,12 @@
 	ticket, err := deps.Admitter.AdmitRequest(ctx, admitter.Request{
 		Team: x.hop.Team, Priority: priorityOf(x), Weight: x.admissionWeight(),
 		Objective: time.Duration(x.hop.Objective) * time.Microsecond, DueAt: x.dueAt, Deadline: x.deadline,
+		Sender: x.hop.Sender,
 	})
 	var overload *admitter.OverloadError
 	var paced *admitter.PacedError
 	var drained *admitter.DrainedError
+	var released *admitter.ReleasedError
 	switch {
 	case err == nil:
 		x.ticket = ticket
@@ -46,6 +48,8 @@
 	case errors.As(err, &drained):
 		a.forwarder.count("refused_drained")
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDrained, drainedRetryDelay, "%v", drained))
+	case errors.As(err, &released):
+		x.refuse(a.forwarder.releaseRefusal(released))
 	default:
 		a.forwarder.setWorkHeader(x)
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed while the request waited for a slot"))
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/base64"
 	"log/slog"
+	mathrand "math/rand/v2"
 	"net/http"
 	"time"
 
@@ -130,8 +131,9 @@
 // Forwarder is the data path of one node.
 type Forwarder struct {
 	deps Deps
-	// startedAt is when the node started.
+	// startedAt is when the node started; sender identifies its process.
 	startedAt     time.Time
+	sender        uint64
 	retryBudgets  retrier.ServiceBudgets
 	shedLevels    shedLevels
 	fairShares    fairShares
@@ -146,7 +148,7 @@
 
 // New returns a forwarder with both chains of filters.
 func New(deps Deps) *Forwarder {
-	f := &Forwarder{deps: deps, startedAt: deps.Clock.Now()}
+	f := &Forwarder{deps: deps, startedAt: deps.Clock.Now(), sender: max(mathrand.Uint64(), 1)}
 	f.entry = chain(f.entryFilters())
 	f.hop = chain(f.hopFilters())
 	return f
--- a/pkg/forwarder/refusal.go
+++ b/pkg/forwarder/refusal.go
@@ -103,6 +103,9 @@
 	// ReasonStop stands for requests that a stopping node may not answer before its
 	// process ends.
 	ReasonStop Reason = "stop"
+	// ReasonRelease stands for requests that no longer wait at the target's node, since
+	// their entry node stops. Callers get ReasonStop.
+	ReasonRelease Reason = "release"
 	// ReasonDrained stands for requests that only targets in drained data centres could
 	// serve.
 	ReasonDrained Reason = "drained"
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -140,6 +140,10 @@
 		if r.refusal.Reason == ReasonDrained {
 			return s.passOverCentre(x, a.target.Centre, tried)
 		}
+		if a.routerResult == router.Abandoned {
+			// This node stops: another target would not answer in time either.
+			return false
+		}
 		if r.refusal.Reason != ReasonDeclined {
 			x.rejections++
 			if r.refusal.Reason == ReasonLimit && !s.forwarder.deps.Router.HasUntried(s.forwarder.deps.Targets(x.hop.Service), tried) {
@@ -186,6 +190,10 @@
 // attempt chooses a target that is not in tried, and sends the request once.
 func (s *sendFilter) attempt(x *Exchange, tried map[string]bool) *attempt {
 	a := &attempt{filter: s, startedAt: s.now(), cancel: func() {}}
+	if r := s.forwarder.refuseAttempt(x, a.startedAt); r != nil {
+		a.result = &notRunResult{refusal: r}
+		return a
+	}
 	if x.timeLeft(a.startedAt) <= 0 {
 		a.result = &notRunResult{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline had passed before the request was sent")}
 		return a
@@ -283,6 +291,7 @@
 	hop := proto.Clone(x.hop).(*control.Hop)
 	hop.Timeout = x.timeLeft(a.startedAt).Microseconds()
 	hop.Retries = retries
+	hop.Sender = a.filter.forwarder.sender
 	body, length := x.nextBody()
 	header := x.request.Header.Clone()
 	header.Set(headerHop, encodeHop(hop))
@@ -381,6 +390,11 @@
 		case ReasonDrained:
 			a.routerResult = router.Drained
 			f.logUnknownDrain(x, a)
+		case ReasonRelease:
+			a.routerResult = router.Abandoned
+			if stop := f.stop(); stop != nil {
+				refusal = stop.refusal(a.filter.now())
+			}
 		}
 		a.result = &notRunResult{refusal: refusal}
 		r.Body.Close()
--- a/pkg/forwarder/stop_filter.go
+++ b/pkg/forwarder/stop_filter.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/primrosewall/primrosewall/pkg/admitter"
 )
 
 // Stop holds the times of a node's graceful stop. A node that is told to stop takes
@@ -12,8 +14,9 @@
 	// CallersGone and NodesGone are when callers, and other nodes with requests for
 	// this node's target, have had that time.
 	CallersGone, NodesGone time.Time
-	// Ends is when the process ends at the latest.
-	Ends time.Time
+	// WaitsEnd is until when a request may wait that the node still has to answer; Ends is
+	// when the process ends at the latest.
+	WaitsEnd, Ends time.Time
 }
 
 // stop returns the times of the node's stop, or nil before it begins.
@@ -52,9 +55,39 @@
 		return
 	}
 	s.forwarder.count("refused_stop")
-	x.refuse(refuse(http.StatusServiceUnavailable, ReasonStop, max(stop.Ends.Sub(now), restartDelay), "this node ends before the deadline of the request"))
+	x.refuse(stop.refusal(now))
+}
+
+// refusal returns the refusal for a request that the node cannot answer any more.
+func (s *Stop) refusal(now time.Time) *Refusal {
+	return refuse(http.StatusServiceUnavailable, ReasonStop, max(s.Ends.Sub(now), restartDelay), "this node ends before the deadline of the request")
 }
 
+// refuseAttempt returns the refusal for an attempt that a stopping node must not begin, as
+// its request might wait at the target's node past the end of the process, or nil. A call
+// with a known parent ends with it.
+func (f *Forwarder) refuseAttempt(x *Exchange, now time.Time) *Refusal {
+	stop := f.stop()
+	if stop == nil || now.Before(stop.WaitsEnd) || x.parent != nil || x.attemptsSent == 0 && x.endsBefore(stop.Ends) {
+		return nil
+	}
+	return stop.refusal(now)
+}
+
+// releaseRefusal returns the refusal for a request that no longer waits for this node's
+// target: its entry node stops, or this one does.
+func (f *Forwarder) releaseRefusal(released *admitter.ReleasedError) *Refusal {
+	f.count("released")
+	now := f.deps.Clock.Now()
+	if stop := f.stop(); stop != nil {
+		return stop.refusal(now)
+	}
+	return refuse(http.StatusServiceUnavailable, ReasonRelease, max(released.Left, restartDelay), "the entry node stops: %v", released)
+}
+
+// Sender identifies this process in the requests that it sends to other nodes.
+func (f *Forwarder) Sender() uint64 { return f.sender }
+
 // endsBefore reports whether the request is answered by a time, or its deadline passes. A
 // long body on a route without an objective has no such bound, see allowance.
 func (x *Exchange) endsBefore(t time.Time) bool {
--- a/pkg/forwarder/stop_filter_test.go
+++ b/pkg/forwarder/stop_filter_test.go
@@ -60,3 +60,34 @@
 		qt.Check(t, w.Header().Get(HeaderWait), qt.Not(qt.Equals), "", qt.Commentf("%s", test.name))
 	}
 }
+
+// TestStopBeginsAttemptsThatMayWait guards against a stopping node that, at the end of its
+// stop, begins an attempt that may wait at the target's node for longer than that.
+func TestStopBeginsAttemptsThatMayWait(t *testing.T) {
+	clock := &timekeeper.Manual{}
+	began := clock.Now()
+	stop := &Stop{WaitsEnd: began.Add(5 * time.Second), Ends: began.Add(5500 * time.Millisecond)}
+	f := New(Deps{Clock: clock, Stopping: func() *Stop { return stop }})
+	for _, test := range []struct {
+		name        string
+		at, timeout time.Duration
+		attempts    int
+		parent      *InFlightRequest
+		begins      bool
+	}{
+		{name: "before the waits end", at: 4900 * time.Millisecond, timeout: time.Minute, attempts: 1, begins: true},
+		{name: "a request that lasts longer", at: 5 * time.Second, timeout: time.Minute},
+		{name: "another attempt", at: 5 * time.Second, timeout: 400 * time.Millisecond, attempts: 1},
+		{name: "a request that ends in time", at: 5 * time.Second, timeout: 400 * time.Millisecond, begins: true},
+		{name: "a call whose parent runs here", at: 5 * time.Second, timeout: time.Minute, parent: &InFlightRequest{}, begins: true},
+	} {
+		now := began.Add(test.at)
+		x := &Exchange{request: httptest.NewRequest(http.MethodGet, "/x", nil), hop: &control.Hop{}, parent: test.parent, attemptsSent: test.attempts, deadline: now.Add(test.timeout)}
+		r := f.refuseAttempt(x, now)
+		qt.Check(t, r == nil, qt.Equals, test.begins, qt.Commentf("%s", test.name))
+		if r != nil {
+			qt.Check(t, r.Reason, qt.Equals, ReasonStop)
+			qt.Check(t, r.Wait >= restartDelay, qt.IsTrue)
+		}
+	}
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -346,6 +346,19 @@
 	return s
 }
 
+// Busy returns the instances whose targets have requests of this node in flight.
+func (r *Router) Busy() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var busy []string
+	for instance, s := range r.stats {
+		if s.inflight > 0 {
+			busy = append(busy, instance)
+		}
+	}
+	return busy
+}
+
 // RecordResult records the result of an attempt at a target that Choose returned,
 // once the attempt is over. RecordAnswer or RecordNoAnswer precedes it.
 func (r *Router) RecordResult(instance string, result Result, took time.Duration) {
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -57,6 +57,9 @@
 	stopTimeout = 10 * time.Minute
 	// graceMargin is the part of the grace time left for ending the process.
 	graceMargin = 400 * time.Millisecond
+	// answerMargin is the part of a stop that is left for answers to requests that have
+	// waited until then.
+	answerMargin = 500 * time.Millisecond
 	// controllersTimeout bounds the wait for controllers at a stop, within
 	// graceMargin. Ending the process while one still runs loses no more than a
 	// kill would.
--- a/pkg/server/services.go
+++ b/pkg/server/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -161,6 +162,11 @@
 	return &control.HistoryReply{Changes: p.server.audit.From(r.From)}, nil
 }
 
+// Release implements control.Peer.
+func (p *peerService) Release(_ context.Context, r *control.ReleaseRequest) (*control.ReleaseReply, error) {
+	return &control.ReleaseReply{Released: uint32(p.server.release(r.Sender, time.Duration(r.Left)*time.Microsecond))}, nil
+}
+
 // Probe implements control.Peer.
 func (p *peerService) Probe(_ context.Context, r *control.ProbeRequest) (*control.ProbeReply, error) {
 	reply := &control.ProbeReply{Instance: p.server.settings.Instance, Version: p.server.config.Current().Version(), Pace: p.server.targetPace()}
--- a/pkg/server/stop.go
+++ b/pkg/server/stop.go
@@ -17,6 +17,7 @@
 	times := s.beginStop()
 	ctx, cancel := context.WithTimeout(context.Background(), times.Ends.Sub(s.stopBegan))
 	defer cancel()
+	go (&releaser{server: s, stop: times}).run(ctx)
 	s.gossip.UpdateSelf(func(e *control.Entry) { e.State, e.Service = control.State_STATE_LEAVING, "" })
 	if err := s.announcer.Drain(ctx); err != nil {
 		s.reportError("drain", err)
@@ -61,6 +62,7 @@
 	times := &forwarder.Stop{
 		CallersGone: s.stopBegan.Add(callersGone - signalDelay),
 		NodesGone:   s.stopBegan.Add(announcer.LeavePropagationDelay),
+		WaitsEnd:    s.stopBegan.Add(timeout - min(answerMargin, timeout/4)),
 		Ends:        s.stopBegan.Add(timeout),
 	}
 	s.stopping.Store(times)
