--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -60,6 +60,9 @@
 	// TargetLeft is called when no target takes new work since this life has said
 	// that it leaves. It never takes new work again.
 	TargetLeft(life string)
+	// TargetClosed is called when a leaving target receives no more requests, those that
+	// wait for a slot included.
+	TargetClosed()
 	// AnnouncementIgnored is called when an announcement or a report has no effect.
 	AnnouncementIgnored(err *IgnoredError)
 	// TargetCrashed is called when a life of the target has crashed, but not again
@@ -305,12 +308,16 @@
 // close marks a leaving target as closed, so that it receives no more requests.
 func (a *Announcer) close(life string) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.leaving && a.target != nil && a.target.Life == life {
+	closes := a.leaving && a.target != nil && a.target.Life == life && !a.target.Closed
+	if closes {
 		closed := *a.target
 		closed.Closed = true
 		a.target = &closed
 	}
+	a.mu.Unlock()
+	if closes {
+		a.listener.TargetClosed()
+	}
 }
 
 // Place is what the settings of a node say about its own target. Empty fields are not
--- a/pkg/announcer/announcer_test.go
+++ b/pkg/announcer/announcer_test.go
@@ -22,6 +22,8 @@
 	cold    time.Duration
 	crashes []string
 	left    []string
+	// closed counts the targets that were closed.
+	closed int
 }
 
 func (l *listener) TargetChanged(t *forwarder.Target, cold time.Duration) {
@@ -33,6 +35,12 @@
 	}
 }
 
+func (l *listener) TargetClosed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed++
+}
+
 func (l *listener) TargetLeft(life string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -139,6 +147,7 @@
 	s.report("a/10", 10, 2, true)
 	s.End("a/10", drain)
 	qt.Assert(t, s.Target().Closed, qt.IsTrue)
+	qt.Assert(t, s.listener.closed, qt.Equals, 1)
 	s.report("a/10", 10, 3, false)
 	qt.Assert(t, s.listener.currentLife(), qt.Equals, "")
 }
--- a/pkg/forwarder/admit_filter.go
+++ b/pkg/forwarder/admit_filter.go
@@ -19,7 +19,7 @@
 	deps := a.forwarder.deps
 	target := deps.Target()
 	if target == nil || target.Service != x.hop.Service || target.Closed {
-		x.refuse(refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetRetryDelay, "instance has no target of service %s", x.hop.Service))
+		x.refuse(noTargetRefusal(x))
 		return
 	}
 	x.target = target
@@ -48,6 +48,7 @@
 	case errors.As(err, &drained):
 		a.forwarder.count("refused_drained")
 		x.refuse(refuse(http.StatusServiceUnavailable, ReasonDrained, drainedRetryDelay, "%v", drained))
+	case errors.As(err, &released) && a.forwarder.rejectClosed(x):
 	case errors.As(err, &released):
 		x.refuse(a.forwarder.releaseRefusal(released))
 	default:
@@ -56,6 +57,21 @@
 	}
 }
 
+func noTargetRefusal(x *Exchange) *Refusal {
+	return refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetRetryDelay, "instance has no target of service %s", x.hop.Service)
+}
+
+// rejectClosed rejects a released request if its target has been closed, or followed by
+// another life, and reports whether it did. The entry node asks another target then.
+func (f *Forwarder) rejectClosed(x *Exchange) bool {
+	target := f.deps.Target()
+	if target == nil || target.Life == x.target.Life && !target.Closed {
+		return false
+	}
+	x.refuse(noTargetRefusal(x))
+	return true
+}
+
 // refusePaced rejects a request that may not begin at the target yet.
 func (f *Forwarder) refusePaced(x *Exchange, paced *admitter.PacedError) {
 	f.count("refused_limit")
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -439,6 +439,9 @@
 	s.gossip.Flush()
 }
 
+// TargetClosed implements announcer.Listener.
+func (s *Server) TargetClosed() { s.release(everySender, 0) }
+
 // AnnouncementIgnored implements announcer.Listener.
 func (s *Server) AnnouncementIgnored(err *announcer.IgnoredError) {
 	s.countEvent("reports_ignored", 1)
