--- a/test/closed_target_test.go
+++ b/test/closed_target_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -35,12 +34,8 @@
 }
 
 func newSlowTarget(t *testing.T) *slowTarget {
-	l, err := net.Listen("tcp", addresses.Next())
-	qt.Assert(t, err, qt.IsNil)
-	target := &slowTarget{address: l.Addr().String()}
-	s := &http.Server{Handler: target, ReadHeaderTimeout: time.Second}
-	go s.Serve(l)
-	t.Cleanup(func() { s.Close() })
+	target := &slowTarget{address: addresses.Next()}
+	serveTarget(t, target.address, target)
 	return target
 }
 
--- a/test/departure_kill_test.go
+++ b/test/departure_kill_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -34,13 +33,9 @@
 	arrived []time.Time
 }
 
-func newLeavingTarget(f *fleet, n *node) *leavingTarget {
-	l, err := net.Listen("tcp", n.target)
-	f.Assert(err, qt.IsNil)
+func newLeavingTarget(t *testing.T, n *node) *leavingTarget {
 	target := &leavingTarget{node: n}
-	s := &http.Server{Handler: target, ReadHeaderTimeout: time.Second}
-	go s.Serve(l)
-	f.Cleanup(func() { s.Close() })
+	serveTarget(t, n.target, target)
 	return target
 }
 
@@ -84,7 +79,7 @@
 	f = newThreeReplicaFleet(t)
 	entry = f.nodes["a"]
 	entry.declare(`{"routes": [{"name": "open", "path": "/open", "service": "back", "open": true}]}`)
-	target = newLeavingTarget(f, f.nodes["d"])
+	target = newLeavingTarget(t, f.nodes["d"])
 	target.serve(entry, "first")
 	return f, entry, target
 }
--- a/test/interface_test.go
+++ b/test/interface_test.go
@@ -72,14 +72,18 @@
 }
 
 func newEchoTarget(t *testing.T) *echoTarget {
-	e := &echoTarget{}
-	l, err := net.Listen("tcp", addresses.Next())
+	e := &echoTarget{address: addresses.Next()}
+	serveTarget(t, e.address, e)
+	return e
+}
+
+// serveTarget serves requests to a target until the test ends.
+func serveTarget(t testing.TB, address string, h http.Handler) {
+	l, err := net.Listen("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
-	e.address = l.Addr().String()
-	s := &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
-	return e
 }
 
 // ServeHTTP implements http.Handler.
--- a/test/stop_reset_test.go
+++ b/test/stop_reset_test.go
@@ -37,12 +37,8 @@
 }
 
 func newLongTarget(t *testing.T) *longTarget {
-	l, err := net.Listen("tcp", addresses.Next())
-	qt.Assert(t, err, qt.IsNil)
-	target := &longTarget{address: l.Addr().String()}
-	s := &http.Server{Handler: target, ReadHeaderTimeout: time.Second}
-	go s.Serve(l)
-	t.Cleanup(func() { s.Close() })
+	target := &longTarget{address: addresses.Next()}
+	serveTarget(t, target.address, target)
 	return target
 }
 
