--- a/pkg/closer/closer.go
+++ b/pkg/closer/closer.go
@@ -93,8 +93,8 @@
 type Conn struct {
 	net.Conn
 	closer *Closer
-	// answered is set from a write until the connection is idle; ended is set once the
-	// peer has closed, reset if the peer is to see a reset.
+	// answered is set from a write until the connection is idle, ended once the peer has
+	// closed, reset if the peer is to see a reset, and closed by the first Close.
 	answered, ended, reset, closed atomic.Bool
 	// done is called when the descriptor is free.
 	done func()
