Tests of stops: callers wait for as long as the route allows

The logs show why: its request was refused by two full nodes after 3.1 and 3.4 s of waiting, cut off at the end of the stopping node, and sent again, as GET is idempotent; 30 s are declared for it. The bound was the client's and not the declared one. Callers now wait for the timeout of the route and 2 s, and the requests are POST, so that an unknown outcome is final and shows.

--- a/test/stop_wait_test.go
+++ b/test/stop_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,10 @@
 	// fullRounds is after how many runs of a slot the nodes know how long requests take, and
 	// the queues are full.
 	fullRounds = 4
+	// waitDeadline is the timeout of the route, and answerSlack how much later the answer
+	// may arrive.
+	waitDeadline = 30 * time.Second
+	answerSlack  = 2 * time.Second
 )
 
 // newFullFleet starts an entry node, two targets of a slow service, and a node whose callers
@@ -33,7 +38,7 @@
 		n.extraSettings = map[string]any{"grace": shortGrace.String(), "rule": "static", "ready": addresses.Next()}
 	}
 	f.start()
-	f.nodes["entry"].declare(`{"routes": [{"name": "slow", "path": "/slow", "service": "slow", "open": true, "timeout": 30000}]}`)
+	f.nodes["entry"].declare(fmt.Sprintf(`{"routes": [{"name": "slow", "path": "/slow", "service": "slow", "open": true, "timeout": %d}]}`, waitDeadline.Milliseconds()))
 	for _, name := range []string{"entry", "other"} {
 		f.waitUntil("node "+name+" has routed a request", func() bool { return f.nodes[name].send("GET", "/slow/first", nil, nil).status == 200 })
 	}
@@ -68,7 +73,12 @@
 func (s *steadyCallers) call(name string, i int) {
 	defer s.group.Done()
 	id := fmt.Sprintf("/slow/%s-%d", name, i)
-	got := s.fleet.nodes[name].send("GET", id, nil, nil)
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.fleet.nodes[name].listen+id, nil)
+	if err != nil {
+		panic(err)
+	}
+	r.Close = true
+	got := doRequest(&http.Client{Timeout: waitDeadline + answerSlack}, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[id] = got
