--- a/pkg/server/controllers.go
+++ b/pkg/server/controllers.go
@@ -32,6 +32,7 @@
 		s.traffic,
 		&silenceLog{server: s},
 		s.boundsLog,
+		s.usageLog,
 		&coldWatcher{server: s},
 		&departureLearner{server: s},
 	}
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -31,6 +31,8 @@
 		{Name: "primrose_lingering", Help: "Connections closed for writing that wait for their callers to close.", Read: func() float64 { return float64(s.closer.Lingering()) }},
 		{Name: "primrose_linger_cut", Help: "Such connections closed before their callers, since the start.", Read: func() float64 { return float64(s.closer.Cut()) }},
 		{Name: "primrose_head_bytes", Help: "Memory of heads and short bodies as counted for their bound.", Read: func() float64 { _, bytes := s.boundsUsage(); return float64(bytes) }},
+		{Name: "primrose_processor", Help: "Processor time used in the last second, as a fraction of a processor.", Read: s.usageLog.lastProcessor},
+		{Name: "primrose_timer_late_seconds", Help: "Longest delay of a timer in the last second: how long what is ready waits for the processor.", Read: s.usageLog.lastLateness},
 		{Name: "primrose_uptime_seconds", Help: "Time since the start.", Read: func() float64 { return s.clock.Now().Sub(s.started).Seconds() }},
 	}
 }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -122,6 +122,7 @@
 	// bounds are nil where the settings name none.
 	bounds    *bounder.Bounder
 	boundsLog *boundsLog
+	usageLog  *usageLog
 	// closer closes the connections of all listeners.
 	closer closer.Closer
 
@@ -149,6 +150,7 @@
 	}
 	s.traffic = &traffic{server: s}
 	s.boundsLog = &boundsLog{server: s}
+	s.usageLog = &usageLog{server: s}
 	if b := settings.CallerBounds(); b != (bounder.Limits{}) {
 		s.bounds = bounder.New(b, clock, s.evict)
 	}
