Calls without a known parent: the rank of a request that makes such calls

Cause: a call whose own deadline is shorter than that of the request that makes it cannot be matched with it, and counted as the highest rank. Nearly all calls of the deepest service are such calls. The level that holds them back therefore passes all ranks of root requests, which entry nodes compare it with: 6,830 at 11 s, above every rank in use.

Why this works: such a call now has the rank, hash and route of a request in flight that makes such calls by what the node has learned, drawn at random. One call may get another's rank; all together have the ranks of their roots, and the level stays where holding back helps.

--- a/pkg/forwarder/chain_costs.go
+++ b/pkg/forwarder/chain_costs.go
@@ -133,6 +133,8 @@
 		x.weight = x.parent.weight
 	case x.inferredParent != nil:
 		x.weight = x.inferredParent.weight
+	case x.likelyParent != nil:
+		x.weight = x.likelyParent.weight
 	default:
 		x.weight = admitter.UnknownWeight
 	}
--- a/pkg/forwarder/exchange.go
+++ b/pkg/forwarder/exchange.go
@@ -40,8 +40,11 @@
 	parent  *InFlightRequest
 	// inferredParent is the probable parent of a call that carries no call id.
 	inferredParent *InFlightRequest
-	hop            *control.Hop
-	budget         *retrier.Budget
+	// likelyParent is one of the requests in flight that may have made a call, drawn at
+	// random, for a call of which no parent could be inferred.
+	likelyParent *InFlightRequest
+	hop          *control.Hop
+	budget       *retrier.Budget
 	// deadline is when the answer must have begun.
 	deadline time.Time
 	// hasCallerTimeout is set when the caller stated its timeout: it does not read
--- a/pkg/forwarder/in_flight.go
+++ b/pkg/forwarder/in_flight.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -294,6 +295,18 @@
 	return t.callerList
 }
 
+// drawCaller returns one of the requests in flight whose route makes calls to a route, or
+// nil if there is none.
+func (t *inFlightTable) drawCaller(route string) *InFlightRequest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	callers := t.callers(route)
+	if len(callers) == 0 {
+		return nil
+	}
+	return callers[rand.IntN(len(callers))]
+}
+
 func (t *inFlightTable) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/forwarder/route_filter.go
+++ b/pkg/forwarder/route_filter.go
@@ -90,17 +90,26 @@
 // inferParent copies from the probable parent of a call what decides about its
 // admission under overload (rank, root hash and root route), and the call depth. It
 // copies neither team, deadline nor retry budget, as the inference may be wrong.
+// Without a probable parent it draws a likely one, so that calls have the ranks of the
+// requests that make them: with a rank above all roots, an admission level that holds
+// calls back would refuse the roots of every rank.
 func (r *routeFilter) inferParent(x *Exchange) {
 	x.hop.Rank = declarer.MaxRank
-	x.inferredParent = r.forwarder.inFlightTable.inferParent(x.route.Name, x.deadline)
-	if x.inferredParent == nil {
+	table := &r.forwarder.inFlightTable
+	x.inferredParent = table.inferParent(x.route.Name, x.deadline)
+	parent := x.inferredParent
+	if parent == nil {
+		x.likelyParent = table.drawCaller(x.route.Name)
+		parent = x.likelyParent
+	}
+	if parent == nil {
 		return
 	}
-	x.hop.Inferred = true
-	x.hop.Rank = x.inferredParent.hop.Rank
-	x.hop.Root = x.inferredParent.hop.Root
-	x.hop.Depth = x.inferredParent.hop.Depth + 1
-	x.hop.Route = x.inferredParent.hop.Route
+	x.hop.Inferred = x.inferredParent != nil
+	x.hop.Rank = parent.hop.Rank
+	x.hop.Root = parent.hop.Root
+	x.hop.Depth = parent.hop.Depth + 1
+	x.hop.Route = parent.hop.Route
 }
 
 // beginRoot sets the route, the root hash, the retry budget and the deadline of a
