Level: from the measured demand on every node, and a floor for each rank

Cause: the admission level moved by a fixed step each 0.1 s. It needed 5 s to reach the load, in which the queues of the deepest service were full and lookups used up their timeout in eight waits, and 4 s to leave it, in which entry nodes refused what the targets had free slots for. It took the highest of the levels that eight calls returned.

Change: the level that the setting "shedding" had, computed from the slot time that is asked for, with what entry nodes hold back, is that of every node; the weight of a request travels whatever the setting. Levels of one service are averaged over its answers. The level reserves a part of the limit for each rank; entry nodes now leave it to them, a quarter of the mean share. The setting goes on deciding about success per cost and the order of calls.

Ruled out: steps in proportion to the share refused, tried before without gain (DESIGN.md).

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -101,11 +101,10 @@
 	queue      queue
 	// drained is set while no request may begin, since the data centre is drained.
 	drained bool
-	level   level
+	// demand is the demand for slots, from which the admission level follows.
+	demand demand
 	// objectives is set by UseObjectives.
 	objectives bool
-	// demand replaces level if it is set, see UseDemand.
-	demand *demand
 	// pacer keeps the limit that the target names; pacedLevel is the admission level
 	// that follows from it.
 	pacer      pacer.Pacer
@@ -132,14 +131,9 @@
 	return &Admitter{clock: clock, algorithm: algorithm, costs: map[string]float64{}}
 }
 
-// UseDemand makes the level follow the measured demand, and calls of requests that have
-// begun come before all others. It must be called before the first request.
-func (a *Admitter) UseDemand() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.demand = &demand{}
-	a.queue.downstreamFirst = true
-}
+// UseDownstreamFirst makes calls of requests that have begun come before all others,
+// whatever their rank. It must be called before the first request.
+func (a *Admitter) UseDownstreamFirst() { a.queue.downstreamFirst = true }
 
 // SetSlots sets the number of slots of the target. warmup is how long a target
 // that just started is slow; it is negative if the target has not just started.
@@ -262,13 +256,10 @@
 	}
 	now := a.clock.Now()
 	a.recordArrival(r.Priority, now)
-	if a.demand != nil {
-		a.demand.recordArrival(r.Priority, r.Weight)
-	}
+	a.demand.recordArrival(r.Priority, r.Weight)
 	a.rejectExpired(now)
 	if a.hasRoom(now) && a.queue.size == 0 {
 		t := a.acquire(r.Team, r.Priority, now)
-		a.level.recordWait(0)
 		a.pacedLevel.recordWait(0)
 		a.mu.Unlock()
 		return t, nil
@@ -286,19 +277,15 @@
 	return a.wait(ctx, w)
 }
 
-// recordArrival counts a request for both levels and for the demand.
+// recordArrival counts a request for the level of the target's own limit.
 func (a *Admitter) recordArrival(p Priority, now time.Time) {
 	a.advanceLevels(now)
-	a.level.recordArrival(p, float64(a.inflight+1)/float64(max(a.currentLimit(now), 1)))
 	a.pacedLevel.recordArrival(p, a.paceUtilization(now))
 	a.pacer.RecordArrival(now)
 }
 
 func (a *Admitter) advanceLevels(now time.Time) {
-	a.level.advance(now, a.serviceTime())
-	if a.demand != nil {
-		a.demand.advance(now, a.currentLimit(now), a.queue.size, a.serviceTime())
-	}
+	a.demand.advance(now, a.demandLimit(now), a.queue.size, a.serviceTime())
 	a.pacedLevel.advance(now, a.serviceTime())
 }
 
@@ -337,10 +324,7 @@
 		a.pacedLevel.rejected = true
 		return a.pacedError(now)
 	}
-	a.level.rejected = true
-	if a.demand != nil {
-		a.demand.rejected++
-	}
+	a.demand.rejected++
 	return a.overloadError()
 }
 
@@ -403,8 +387,6 @@
 		w.begunAt = now
 		if w.paced {
 			a.pacedLevel.recordWait(now.Sub(w.since))
-		} else {
-			a.level.recordWait(now.Sub(w.since))
 		}
 		w.result <- nil
 	}
@@ -517,9 +499,7 @@
 	elapsed := now.Sub(t.began)
 	a.recordPace(t, elapsed, callTime, shed, now)
 	a.inflight--
-	if a.demand != nil {
-		a.demand.recordEnd(t.priority, elapsed)
-	}
+	a.demand.recordEnd(t.priority, elapsed)
 	a.serviceSeconds += costWeight * (elapsed.Seconds() - a.serviceSeconds)
 	a.workTime.record(now, elapsed, t.failed)
 	a.costs[t.team] = a.cost(t.team) + costWeight*(elapsed.Seconds()-a.cost(t.team))
@@ -534,19 +514,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	a.level.advance(now, a.serviceTime())
-	if a.demand != nil {
-		a.demand.advance(now, a.currentLimit(now), a.queue.size, a.serviceTime())
-	}
-	return a.threshold()
-}
-
-// threshold returns the level that is in use. The caller holds the lock.
-func (a *Admitter) threshold() Priority {
-	if a.demand != nil {
-		return a.demand.level
-	}
-	return a.level.threshold()
+	a.demand.advance(now, a.demandLimit(now), a.queue.size, a.serviceTime())
+	return a.demand.level
 }
 
 // Cost returns the time for which the request has held its slot, or 0 while the slots
@@ -555,7 +524,7 @@
 	a := t.admitter
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.demand == nil || !a.demand.scarce() {
+	if !a.demand.scarce() {
 		return 0
 	}
 	return a.clock.Now().Sub(t.began)
@@ -566,8 +535,7 @@
 type Load struct {
 	Slots, Limit, Inflight, Queued int
 	Level                          Priority
-	// Demand is the demand in slots, with what the entry nodes hold back; 0 unless the
-	// level follows it.
+	// Demand is the demand in slots, with what the entry nodes hold back.
 	Demand float64
 	// Paced is the part of the limit named by the target that is in use, from 0 to 1,
 	// and PacedLevel the admission level that follows from that limit.
@@ -599,12 +567,9 @@
 	now := a.clock.Now()
 	reason, left := a.cold.Reason(now)
 	load := Load{
-		Slots: a.slots, Limit: a.effectiveLimit(now), Inflight: a.inflight, Queued: a.queue.size, Level: a.threshold(),
+		Slots: a.slots, Limit: a.effectiveLimit(now), Inflight: a.inflight, Queued: a.queue.size, Level: a.demand.level,
 		Paced: a.paceUtilization(now), PacedLevel: a.pacedLevel.threshold(), Cold: reason, ColdLeft: left,
-		Held: a.foundPace && a.ramp.Active(now),
-	}
-	if a.demand != nil {
-		load.Demand = a.demand.total
+		Held: a.foundPace && a.ramp.Active(now), Demand: a.demand.total,
 	}
 	return load
 }
--- a/pkg/admitter/doc.go
+++ b/pkg/admitter/doc.go
@@ -14,6 +14,6 @@
 //
 // An admission level, which the node reports to upstream nodes, says which
 // requests the admitter would reject, so that the entry node rejects them before
-// any work is spent on them. By default it moves in steps while requests wait or are
-// rejected; with UseDemand it is set from the slot time that the offered requests need.
+// any work is spent on them. It is set from the slot time that the offered requests need,
+// with those that entry nodes hold back.
 package admitter
--- a/pkg/admitter/queue_test.go
+++ b/pkg/admitter/queue_test.go
@@ -6,7 +6,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestBegunRequestsComeFirst checks that with UseDemand a call of the lowest rank is
+// TestBegunRequestsComeFirst checks that with UseDownstreamFirst a call of the lowest rank is
 // served before a request of the highest rank that has not begun, and without it after.
 func TestBegunRequestsComeFirst(t *testing.T) {
 	for _, begunFirst := range []bool{false, true} {
--- a/pkg/admitter/target_pace.go
+++ b/pkg/admitter/target_pace.go
@@ -102,6 +102,15 @@
 	return a.limit
 }
 
+// demandLimit returns the limit with which the demand is compared: while the target is held
+// back after a start or a recovery the one after that, as others may have room.
+func (a *Admitter) demandLimit(now time.Time) int {
+	if a.foundPace && a.ramp.Active(now) {
+		return a.limit
+	}
+	return a.currentLimit(now)
+}
+
 // isHeldBack reports whether only its answers after a start or a recovery keep a request
 // from beginning at the target. Other targets may have room, so its rejections must not
 // make entry nodes shed.
--- a/pkg/forwarder/in_flight.go
+++ b/pkg/forwarder/in_flight.go
@@ -32,7 +32,7 @@
 	callDuration time.Duration
 	runningCalls int
 	callsSince   time.Time
-	// level is the highest admission level that the answers to its calls carried.
+	// level is the highest admission level of the services that it has called.
 	level admitter.Priority
 	// failedCall is set once a call failed; see markFailedCall.
 	failedCall bool
@@ -42,7 +42,7 @@
 	weight float64
 	// dueAt is when its objective ends; zero if that is not known.
 	dueAt time.Time
-	// callees are the levels that the called services returned; unused without Chains.
+	// callees are the levels that the called services returned.
 	callees []calleeLevel
 }
 
@@ -116,12 +116,6 @@
 	return r.callDuration
 }
 
-func (r *InFlightRequest) raiseLevel(level admitter.Priority) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.level = max(r.level, level)
-}
-
 func (r *InFlightRequest) callLevel() admitter.Priority {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -250,20 +244,9 @@
 	return closest
 }
 
-// raiseLevels applies the admission level that came back for a call without a
-// known parent. It raises the level of every request in flight whose route makes
-// calls to the call's route, since any of them may have made the call.
-func (t *inFlightTable) raiseLevels(route string, level admitter.Priority) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, r := range t.byID {
-		if t.callGraph.makesCalls(r.hop.Arrival, route) {
-			r.raiseLevel(level)
-		}
-	}
-}
-
-// raiseCalleeLevels is raiseLevels with a mean over the answers of each called service.
+// raiseCalleeLevels applies the admission level that came back for a call without a
+// known parent. It counts for every request in flight whose route makes calls to the
+// call's route, since any of them may have made the call.
 func (t *inFlightTable) raiseCalleeLevels(route, service string, level admitter.Priority) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -295,9 +295,7 @@
 	body, length := x.nextBody()
 	header := x.request.Header.Clone()
 	header.Set(headerHop, encodeHop(hop))
-	if a.filter.forwarder.deps.Chains != nil {
-		setWeightHeader(header, x)
-	}
+	setWeightHeader(header, x)
 	setLeftHeader(header, x, a.startedAt)
 	life, s := a.filter.forwarder.deps.Router.Statement(a.target.Instance)
 	setStatementHeaders(header, life, s)
@@ -419,18 +417,12 @@
 		f.deps.Chains.RecordLevel(chainKeyOf(x), float64(rejected)/rootHashCount, now)
 	}
 	switch {
-	case x.parent != nil && f.deps.Chains != nil:
-		x.parent.raiseCalleeLevel(x.hop.Service, level)
 	case x.parent != nil:
-		x.parent.raiseLevel(level)
-	case x.inferredParent != nil && f.deps.Chains != nil:
-		x.inferredParent.raiseCalleeLevel(x.hop.Service, level)
+		x.parent.raiseCalleeLevel(x.hop.Service, level)
 	case x.inferredParent != nil:
-		x.inferredParent.raiseLevel(level)
-	case x.hop.Call && f.deps.Chains != nil:
-		f.inFlightTable.raiseCalleeLevels(x.route.Name, x.hop.Service, level)
+		x.inferredParent.raiseCalleeLevel(x.hop.Service, level)
 	case x.hop.Call:
-		f.inFlightTable.raiseLevels(x.route.Name, level)
+		f.inFlightTable.raiseCalleeLevels(x.route.Name, x.hop.Service, level)
 	}
 }
 
--- a/pkg/forwarder/shed_filter.go
+++ b/pkg/forwarder/shed_filter.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -23,9 +24,7 @@
 	f := s.forwarder
 	f.setDueAt(x)
 	if x.hop.Call {
-		if f.deps.Chains != nil {
-			x.inheritWeight()
-		}
+		x.inheritWeight()
 		next(x)
 		return
 	}
@@ -37,6 +36,7 @@
 	key := shedKeyOf(x)
 	passFraction := 1 - min(f.shedLevels.get(key, now), rootHashCount-probeHashes)/rootHashCount
 	passFraction = f.fairShares.recordArrival(key, x.hop.Team, passFraction, now)
+	passFraction = f.shedLevels.raiseToFloor(passFraction, now)
 	// The highest hash values pass, as in the admission at the services further
 	// down.
 	hash := float64(admitter.NewPriority(0, false, x.hop.Root))
@@ -45,6 +45,7 @@
 		x.refuse(f.capWait(x, refuse(http.StatusServiceUnavailable, ReasonLoad, shedRetryDelay, "service %s, or one that it calls, is overloaded", x.hop.Service), now))
 		return
 	}
+	x.weight = 1 / passFraction
 	next(x)
 }
 
@@ -114,6 +115,8 @@
 	shedLevelHoldTime = 200 * time.Millisecond
 	// shedLevelDecayTime is how long it then takes to fall to 0, linearly.
 	shedLevelDecayTime = time.Second
+	// meanPassTime is the time constant of the counts of requests and of what passes.
+	meanPassTime = time.Second
 )
 
 // shedLevels holds the levels that the nodes of services returned, as a moving
@@ -122,6 +125,10 @@
 type shedLevels struct {
 	mu     sync.Mutex
 	values map[shedKey]*shedLevel
+	// arrived and passing count recent root requests and the fractions of them that pass,
+	// with exponential decay until countedAt.
+	arrived, passing float64
+	countedAt        time.Time
 }
 
 type shedLevel struct {
@@ -129,6 +136,24 @@
 	reportedAt time.Time
 }
 
+// raiseToFloor returns the fraction that passes of requests of one kind: at least a part of
+// the mean of all, for which the admission level leaves room. Otherwise lasting overload
+// would leave nothing to the lower ranks.
+func (l *shedLevels) raiseToFloor(passFraction float64, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := math.Exp(-float64(now.Sub(l.countedAt)) / float64(meanPassTime))
+	l.arrived, l.passing = l.arrived*kept, l.passing*kept
+	l.countedAt = now
+	passFraction = max(passFraction, probeHashes/float64(rootHashCount))
+	if l.arrived > 0 {
+		passFraction = max(passFraction, shedder.FloorFraction*l.passing/l.arrived)
+	}
+	l.arrived++
+	l.passing += passFraction
+	return passFraction
+}
+
 func (l *shedLevels) record(key shedKey, value int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -19,7 +19,7 @@
 		{Name: "primrose_inflight", Help: "Requests running at the own target.", Read: func() float64 { return float64(s.admitter.Load().Inflight) }},
 		{Name: "primrose_queued", Help: "Requests waiting for the own target.", Read: func() float64 { return float64(s.admitter.Load().Queued) }},
 		{Name: "primrose_level", Help: "Priority below which requests are better refused at their entry node.", Read: func() float64 { return float64(s.admitter.Load().Level) }},
-		{Name: "primrose_demand", Help: "Demand for the own target in slots, with what entry nodes hold back; 0 unless shedding is chains.", Read: func() float64 { return s.admitter.Load().Demand }},
+		{Name: "primrose_demand", Help: "Demand for the own target in slots, with what entry nodes hold back.", Read: func() float64 { return s.admitter.Load().Demand }},
 		{Name: "primrose_passing_share", Help: "Least share of any route's requests of a rank that this entry node lets pass; 1 unless shedding is chains.", Read: s.passingShare},
 		{Name: "primrose_target_rate", Help: "Requests a second that the own target takes at most, as it states; -1 if it names no limit.", Read: s.targetRate},
 		{Name: "primrose_target_cold_limit", Help: "Requests that the own target may get in any second while it is cold; -1 if it is not.", Read: s.ownTargetColdLimit},
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -284,7 +284,7 @@
 func (s *Server) buildDataPath() {
 	s.admitter = admitter.New(s.clock, limitAlgorithm(s.settings.Rule))
 	if s.settings.Shedding == configurer.SheddingChains {
-		s.admitter.UseDemand()
+		s.admitter.UseDownstreamFirst()
 		s.chains = &shedder.Chains{}
 	}
 	objectives := s.settings.Waiting == configurer.WaitingObjective
