Level: held for as long as answers may take

Cause: a level returns with answers. An overload delays answers by a chain of calls, or keeps them from coming until the timeout of the route; the level was kept for 0.2 s and fell to 0 within a second more. A rank that is held back as a whole brings no answers at all, so it began again every 1.2 s.

Change: a level holds for 1.5 s without answers; from 0.5 s on one request in 0.5 s passes as a probe, which stands for itself alone. A new level counts more the older the last one is, so that the first probe after an overload ends it.

--- a/pkg/forwarder/shed_filter.go
+++ b/pkg/forwarder/shed_filter.go
@@ -40,12 +40,16 @@
 	// The highest hash values pass, as in the admission at the services further
 	// down.
 	hash := float64(admitter.NewPriority(0, false, x.hop.Root))
-	if hash < rootHashCount*(1-passFraction) {
+	if hash >= rootHashCount*(1-passFraction) {
+		x.weight = 1 / passFraction
+		next(x)
+		return
+	}
+	if !f.shedLevels.takeProbe(key, now) {
 		f.count("refused_shed")
 		x.refuse(f.capWait(x, refuse(http.StatusServiceUnavailable, ReasonLoad, shedRetryDelay, "service %s, or one that it calls, is overloaded", x.hop.Service), now))
 		return
 	}
-	x.weight = 1 / passFraction
 	next(x)
 }
 
@@ -108,11 +112,18 @@
 	// probeHashes is how many of the rootHashCount hash values always pass, so that
 	// answers show the entry when the services further down have capacity again.
 	probeHashes = 2
-	// shedLevelWeight is the weight of the newest level in the moving average.
-	shedLevelWeight = 0.3
+	// shedLevelTime is the time constant with which a shed level follows the reports, and
+	// minShedLevelWeight the least weight of a report: an old level counts no more when a
+	// new one comes.
+	shedLevelTime      = 150 * time.Millisecond
+	minShedLevelWeight = 0.3
 	// shedLevelHoldTime is how long a shed level stays unchanged without new
-	// reports.
-	shedLevelHoldTime = 200 * time.Millisecond
+	// reports. They come with answers, which an overload delays by the time of a chain
+	// of calls, or keeps from coming until the timeout of the route.
+	shedLevelHoldTime = 1500 * time.Millisecond
+	// shedProbeInterval is the time without a report after which one request passes, whose
+	// answer brings one: what is held back brings none.
+	shedProbeInterval = 500 * time.Millisecond
 	// shedLevelDecayTime is how long it then takes to fall to 0, linearly.
 	shedLevelDecayTime = time.Second
 	// meanPassTime is the time constant of the counts of requests and of what passes.
@@ -134,6 +145,8 @@
 type shedLevel struct {
 	value      float64
 	reportedAt time.Time
+	// probedAt is when a request last passed as a probe.
+	probedAt time.Time
 }
 
 // raiseToFloor returns the fraction that passes of requests of one kind: at least a part of
@@ -165,7 +178,8 @@
 		r = &shedLevel{}
 		l.values[key] = r
 	}
-	r.value += shedLevelWeight * (float64(value) - r.value)
+	weight := 1 - math.Exp(-float64(now.Sub(r.reportedAt))/float64(shedLevelTime))
+	r.value += max(weight, minShedLevelWeight) * (float64(value) - r.value)
 	r.reportedAt = now
 }
 
@@ -182,3 +196,16 @@
 	}
 	return r.value * max(0, 1-age.Seconds()/shedLevelDecayTime.Seconds())
 }
+
+// takeProbe reports whether a request that is held back passes all the same, since no answer
+// has brought a level for shedProbeInterval.
+func (l *shedLevels) takeProbe(key shedKey, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.values[key]
+	if !ok || now.Sub(r.reportedAt) < shedProbeInterval || now.Sub(r.probedAt) < shedProbeInterval {
+		return false
+	}
+	r.probedAt = now
+	return true
+}
--- a/pkg/forwarder/shed_filter_test.go
+++ b/pkg/forwarder/shed_filter_test.go
@@ -19,7 +19,9 @@
 	forwarder *Forwarder
 	clock     timekeeper.Manual
 	random    *rand.Rand
-	level     admitter.Priority
+	// level is what answers carry; there are none while silent is set.
+	level  admitter.Priority
+	silent bool
 }
 
 func newShedEntry(level admitter.Priority) *shedEntry {
@@ -69,7 +71,9 @@
 			w, _ := readWeight(h)
 			passed[rank]++
 			weight[rank] += w
-			e.forwarder.recordLevel(x, e.level, e.clock.Now())
+			if !e.silent {
+				e.forwarder.recordLevel(x, e.level, e.clock.Now())
+			}
 		}
 	}
 	for _, rank := range ranks {
@@ -100,3 +104,20 @@
 	const samplingError = 0.05
 	qt.Check(t, passed[9] >= mean/4*(1-samplingError), qt.IsTrue, qt.Commentf("%v", passed))
 }
+
+// TestLostAnswersEndShedding guards against entry nodes that let everything pass while an
+// overload keeps answers from coming: for as long as a chain of calls takes, what was held
+// back must stay held back, but for a probe each half second and the floor.
+func TestLostAnswersEndShedding(t *testing.T) {
+	const chainTime = 1500 * time.Millisecond
+	e := newShedEntry(admitter.NewPriority(11, false, 0))
+	e.run(2*time.Second, 10)
+	e.silent = true
+	passed, _ := e.run(chainTime, 10)
+	// Of 150 requests three pass as probes, and 1 % more at random.
+	qt.Check(t, passed[10]*150 <= 8, qt.IsTrue, qt.Commentf("%v", passed))
+	e.silent, e.level = false, 0
+	e.run(time.Second, 10)
+	passed, _ = e.run(time.Second, 10)
+	qt.Check(t, passed[10], qt.Equals, 1.0)
+}
