Level: a queue that stands at capacity raises it

Cause: the level compared the demand with the limit and left out what waits. A full queue in front of a demand just within the limit raised no level, and was not worked off; each of a lookup's eight calls waited in it or was refused.

Change: what the queue needs to be worked off in 0.5 s counts as demand when the level is set, as it did already for how high it is.

TestFullQueueStandsAtCapacity fails on the code before (level 0 at 0.96, 0.99 and 1.01 of the capacity with a full queue).

--- a/pkg/admitter/demand.go
+++ b/pkg/admitter/demand.go
@@ -165,11 +165,13 @@
 	return max(d.meanWeight, 1)
 }
 
+// setLevel compares the demand with the limit. A queue is demand that did not find room: one
+// that stands while the rest is just within the limit would never be worked off.
 func (d *demand) setLevel() {
-	switch {
-	case d.total > raiseDemand*d.limit:
+	switch wanted := d.total + d.backlog; {
+	case wanted > raiseDemand*d.limit:
 		d.overWindows++
-	case d.total < clearDemand*d.limit:
+	case wanted < clearDemand*d.limit:
 		d.overWindows = 0
 	}
 	if d.overWindows < raiseWindows {
--- a/pkg/admitter/demand_test.go
+++ b/pkg/admitter/demand_test.go
@@ -141,3 +141,25 @@
 	qt.Assert(t, known.level > 0, qt.IsTrue)
 	qt.Assert(t, mixed.level, qt.Equals, known.level)
 }
+
+// TestFullQueueStandsAtCapacity guards against a queue that stays full while the demand is just
+// within the capacity: each call of a chain waits in it. The level must leave as much of the
+// limit as works the queue off in half a second.
+func TestFullQueueStandsAtCapacity(t *testing.T) {
+	const queued = 2 * demandSlots
+	for _, load := range []float64{0.96, 0.99, 1.01} {
+		var d demand
+		now := time.Unix(1000, 0)
+		for range 20 {
+			for range int(load * demandCapacity * demandInterval.Seconds()) {
+				d.recordArrival(NewPriority(10, true, 0), 1)
+				d.recordEnd(NewPriority(10, true, 0), demandSlotTime)
+			}
+			now = now.Add(demandInterval)
+			d.advance(now, demandSlots, queued, demandSlotTime)
+		}
+		passing := 1 - (float64(d.level)-float64(NewPriority(10, false, 0)))/hashCount
+		needed := queued * demandSlotTime.Seconds() / 0.5
+		qt.Check(t, d.level > 0 && passing*load*demandSlots <= demandSlots-needed, qt.IsTrue, qt.Commentf("load %v: level %d", load, d.level))
+	}
+}
