Rejected requests: only targets that may have room are asked next

Cause: a request that a target's node rejected for lack of capacity was sent to two more, also when their answers of the same moment told of full queues. With all queues full half of what the nodes beside the deepest service got were repeats, each of which costs about as much processor time as a request that is served, and each may wait in a queue before it is rejected.

Change: after a rejection for load a target is asked only if it has not told of a full queue within the last 0.1 s; without one the rejection is final.

TestRejectedRequestsAskFullTargets fails on the code before: 600 attempts of 200 requests.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -16,6 +16,8 @@
 	minQueueTimeout = 100 * time.Millisecond
 	// queueFactor times the limit bounds the queue length.
 	queueFactor = 2
+	// FullLoad is the load, as a fraction of the limit, of a target with a full queue.
+	FullLoad = 1 + queueFactor
 	// minQueueLength is the minimum of that bound.
 	minQueueLength = 8
 	// pacedIntervals is the queue timeout of a request that waits for the limit that
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -130,7 +130,9 @@
 // maxRejections after a rejection that cost the target nothing, otherwise the retry
 // budgets of the service and of the request, from which it takes one retry. A target
 // that rejected the request because of its limit is not asked again, nor one in a data
-// centre that is drained; the latter counts nowhere.
+// centre that is drained; the latter counts nowhere. After a rejection for lack of capacity
+// targets that have just told of a full queue are not asked: a rejection costs their nodes
+// about as much processor time as a request that is served.
 func (s *sendFilter) shouldRetry(x *Exchange, a *attempt, tried map[string]bool) bool {
 	if x.bodyRead.Load() || x.timeLeft(s.now()) <= 0 || x.Context().Err() != nil || a.target == nil {
 		return false
@@ -149,6 +151,10 @@
 			if r.refusal.Reason == ReasonLimit && !s.forwarder.deps.Router.HasUntried(s.forwarder.deps.Targets(x.hop.Service), tried) {
 				return false
 			}
+			if r.refusal.Reason == ReasonLoad && !s.forwarder.deps.Router.MayHaveRoom(s.forwarder.deps.Targets(x.hop.Service), tried) {
+				s.forwarder.count("full_not_asked")
+				return false
+			}
 			return x.rejections < maxRejections
 		}
 	case *answeredResult:
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/pacer"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 	"github.com/primrosewall/primrosewall/proto/control"
@@ -42,6 +43,11 @@
 	// remoteLoadMargin is how much lower the load of a target in another data
 	// centre must be to justify the longer way.
 	remoteLoadMargin = 0.1
+	// fullQueueLoad is the load from which a target's queue counts as full, and
+	// fullQueueTTL how long a report of that counts: a queue is worked off in the time of
+	// a few requests.
+	fullQueueLoad = 0.95 * admitter.FullLoad
+	fullQueueTTL  = 100 * time.Millisecond
 	// loadTTL is how long a load reported by a target's node is used, and how long
 	// a target counts as full after it shed a request.
 	loadTTL = 500 * time.Millisecond
--- a/pkg/router/statements.go
+++ b/pkg/router/statements.go
@@ -40,6 +40,27 @@
 	return slices.ContainsFunc(c.local, isUntried) || slices.ContainsFunc(c.remote, isUntried)
 }
 
+// MayHaveRoom reports whether a usable target among the members of a service has not been
+// tried for a request, and has not just reported a full queue.
+func (r *Router) MayHaveRoom(members []*control.Entry, tried map[string]bool) bool {
+	if len(members) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	c := r.candidates(members)
+	mayHaveRoom := func(e *control.Entry) bool {
+		return !tried[e.Instance] && r.usable(e, now) && !r.targetStats(e).hasFullQueue(now)
+	}
+	return slices.ContainsFunc(c.local, mayHaveRoom) || slices.ContainsFunc(c.remote, mayHaveRoom)
+}
+
+// hasFullQueue reports whether the target's node has just told of a queue without room.
+func (s *targetStats) hasFullQueue(now time.Time) bool {
+	return s.load >= fullQueueLoad && now.Sub(s.loadReported) < fullQueueTTL
+}
+
 // Statement returns what the target of an instance states about itself, as far as this
 // node knows, and the life that it is about; without one the life is empty.
 func (r *Router) Statement(instance string) (life string, s pacer.Statement) {
