Bounds: callers that stop sending or reading give way

Cause: of the connections of callers only those that read a head, are idle or linger gave way to others. One whose request had reached its handler held its place, though it waited for its caller alone: the rest of a body, also one that a handler does not read, or room to write an answer, for which there was no limit of time at all. Callers with heads, bodies and memory inside all bounds could hold every place of a listener.

Change: a running request that has waited for its caller for a second without 4 KiB of progress gives way when places are used up, after heads that are as old and before younger ones; from 30 s on it is closed. Answers that are being written count, and those of callers that take nothing give way above the limit that heads have. Time in which the node or the target is busy doesn't count.

TestStalledCallersHoldAllPlaces and TestUnreadAnswersTakeMemory are the same without a network. Weighed: a deadline for each write, which costs a timer per answer; always closing after a second, which would cut ordinary callers that read slowly.

--- a/pkg/bounder/bounder.go
+++ b/pkg/bounder/bounder.go
@@ -29,6 +29,11 @@
 	// other, and leave garbage faster than it is collected: with 2,400 callers 136 MiB where
 	// 96 are allowed.
 	holdTime = time.Second
+	// maxStallTime is how long a running request waits for its caller without progress.
+	maxStallTime = 30 * time.Second
+	// progressBytes is what a caller has to send of a body, or to read of an answer, to count
+	// as making progress.
+	progressBytes = 4 << 10
 	// gateShare is the part of all connections that one listener may take, so that a crowd
 	// at one leaves room at the others.
 	gateShare = 7.0 / 8
@@ -55,6 +60,9 @@
 	TooMuchMemory Cause = "memory"
 	// TooManyConnections: more connections are open than allowed.
 	TooManyConnections Cause = "connections"
+	// TooSlow: the request runs, and its caller has neither sent more of its body nor read
+	// more of its answer for too long.
+	TooSlow Cause = "slow"
 )
 
 // Bounder decides which connections end when a limit is reached. It does no I/O.
@@ -68,6 +76,8 @@
 	gates []*Gate
 	open  int
 	used  int64
+	// writing is what is being written to callers that may not read.
+	writing int64
 	// unanswered and answered hold the slots whose head is counted in used, by whether a
 	// request has been answered on their connection; the slowest comes first.
 	unanswered, answered list.List
@@ -84,6 +94,9 @@
 	unanswered, idle list.List
 	// lingering holds the slots that wait for their peers to close, the longest first.
 	lingering list.List
+	// stalled holds the slots whose request runs and that wait for their callers: for more
+	// of a body, or to take more of an answer.
+	stalled list.List
 }
 
 // phase is what a connection does.
@@ -111,10 +124,22 @@
 	// that in the list of the Bounder.
 	waiting, counted place
 	answered         bool
+	readingSince     time.Time
 	countedSince     time.Time
 	lingeringSince   time.Time
 	head             head
 	cost             int64
+	// awaitsBody is set while the request runs and its body has not ended.
+	awaitsBody bool
+	// stalls counts the reads and writes that wait for the caller at present, since
+	// stalledSince. stalled is for how long others have, and moved the bytes that they
+	// moved, since the last progress.
+	stalls       int
+	stalledSince time.Time
+	stalled      time.Duration
+	moved        int
+	// writing is the part of this slot in that of the Bounder.
+	writing int64
 }
 
 // New returns a Bounder. evicted must end the connection of a slot.
@@ -152,7 +177,7 @@
 		}
 		victim.end()
 	}
-	s := &Slot{gate: g, Conn: conn}
+	s := &Slot{gate: g, Conn: conn, readingSince: b.clock.Now()}
 	b.open++
 	g.open++
 	s.waiting.enter(&g.unanswered, s)
@@ -170,7 +195,8 @@
 }
 
 // connectionVictim returns the connection that gives way to a new one at a gate: one that
-// has lingered for holdTime, the one that has been reading its first head for longest, or at
+// has lingered for holdTime, the one that has been reading its first head for longest, one
+// whose request runs and that has waited for its caller for holdTime, or at
 // the same gate another that lingers or the one that has been idle for longest. Idle
 // connections of other listeners stay: a node that sends on one that is being closed could
 // not tell whether its request has run.
@@ -194,10 +220,32 @@
 // earlyVictim returns the connection of a gate that gives way to those of all gates, if
 // there is one.
 func (b *Bounder) earlyVictim(g *Gate) *Slot {
-	if s := first(&g.lingering); s != nil && b.clock.Now().Sub(s.lingeringSince) >= holdTime {
+	now := b.clock.Now()
+	if s := first(&g.lingering); s != nil && now.Sub(s.lingeringSince) >= holdTime {
 		return s
 	}
-	return first(&g.unanswered)
+	reading := first(&g.unanswered)
+	if reading != nil && now.Sub(reading.readingSince) >= holdTime {
+		return reading
+	}
+	if s, _ := g.longestStalled(holdTime); s != nil {
+		return s
+	}
+	return reading
+}
+
+// longestStalled returns the slot whose running request has waited for its caller for longest
+// without progress, and for how long, if that is a time or longer.
+func (g *Gate) longestStalled(least time.Duration) (*Slot, time.Duration) {
+	var longest *Slot
+	now := g.bounder.clock.Now()
+	for e := g.stalled.Front(); e != nil; e = e.Next() {
+		s := e.Value.(*Slot)
+		if stalled := s.stalled + now.Sub(s.stalledSince); stalled >= least {
+			longest, least = s, stalled
+		}
+	}
+	return longest, least
 }
 
 // Read counts bytes that were read from a connection. Others, or the connection itself, may
@@ -231,8 +279,9 @@
 }
 
 // Begin records that the request of a connection has reached the handler, and counts its
-// short body. It returns the cause if the connection must end instead.
-func (s *Slot) Begin(bodyBytes int64) Cause {
+// short body; hasBody is set if it has a body of any length. It returns the cause if the
+// connection must end instead.
+func (s *Slot) Begin(bodyBytes int64, hasBody bool) Cause {
 	b := s.gate.bounder
 	b.mu.Lock()
 	if s.phase == ended {
@@ -240,10 +289,114 @@
 		return TooMuchMemory
 	}
 	s.phase = running
+	s.awaitsBody, s.stalled, s.moved = hasBody, 0, 0
 	s.leaveLists()
 	return b.unlockAfter(s, s.head.cost()+bodyCost*max(bodyBytes-freeBytes, 0))
 }
 
+// EndBody records that the body of the request has been read to its end.
+func (s *Slot) EndBody() {
+	s.gate.bounder.mu.Lock()
+	defer s.gate.bounder.mu.Unlock()
+	s.awaitsBody = false
+}
+
+// WaitRead records that the connection begins to wait for more of a body. It returns false if
+// the request that runs has none left, so that nobody waits for the caller.
+func (s *Slot) WaitRead() bool {
+	s.gate.bounder.mu.Lock()
+	defer s.gate.bounder.mu.Unlock()
+	if s.phase != running || !s.awaitsBody {
+		return false
+	}
+	s.stall()
+	return true
+}
+
+// EndRead records that such a wait has ended, in which the caller sent n bytes.
+func (s *Slot) EndRead(n int) {
+	s.gate.bounder.mu.Lock()
+	defer s.gate.bounder.mu.Unlock()
+	s.endStall(n)
+}
+
+// WaitWrite records that the connection begins to wait until its caller takes size bytes.
+// Callers that have taken nothing for holdTime give way if more is held for all of them
+// than heads may take.
+func (s *Slot) WaitWrite(size int) {
+	b := s.gate.bounder
+	b.mu.Lock()
+	s.writing += int64(size)
+	b.writing += int64(size)
+	s.stall()
+	victims := b.endStalled(holdTime, func() bool { return b.limits.Bytes > 0 && b.writing > b.limits.Bytes })
+	b.mu.Unlock()
+	b.evictAll(victims, TooMuchMemory)
+}
+
+// EndWrite records that such a wait has ended, in which the caller took n of the size bytes.
+func (s *Slot) EndWrite(size, n int) {
+	b := s.gate.bounder
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.endStall(n)
+	held := min(int64(size), s.writing)
+	s.writing -= held
+	b.writing -= held
+}
+
+func (s *Slot) stall() {
+	if s.stalls++; s.stalls > 1 {
+		return
+	}
+	s.stalledSince = s.gate.bounder.clock.Now()
+	if s.phase == running {
+		s.waiting.enter(&s.gate.stalled, s)
+	}
+}
+
+func (s *Slot) endStall(n int) {
+	now := s.gate.bounder.clock.Now()
+	s.stalled += now.Sub(s.stalledSince)
+	s.stalledSince = now
+	if s.moved += n; s.moved >= progressBytes {
+		s.stalled, s.moved = 0, 0
+	}
+	if s.stalls--; s.stalls == 0 && s.waiting.list == &s.gate.stalled {
+		s.waiting.leave()
+	}
+}
+
+// EndStalled ends the connections whose running requests have waited for their callers for
+// maxStallTime without progress.
+func (b *Bounder) EndStalled() {
+	b.mu.Lock()
+	victims := b.endStalled(maxStallTime, func() bool { return true })
+	b.mu.Unlock()
+	b.evictAll(victims, TooSlow)
+}
+
+// endStalled ends, while more is set, the slots that have waited for their callers for a time
+// or longer, the longest first. The caller evicts them.
+func (b *Bounder) endStalled(least time.Duration, more func() bool) []*Slot {
+	var victims []*Slot
+	for more() {
+		var victim *Slot
+		longest := least
+		for _, g := range b.gates {
+			if s, stalled := g.longestStalled(longest); s != nil {
+				victim, longest = s, stalled
+			}
+		}
+		if victim == nil {
+			break
+		}
+		victim.end()
+		victims = append(victims, victim)
+	}
+	return victims
+}
+
 // unlockAfter sets the cost of a slot, makes others give way, and unlocks mu. If not enough
 // others have been read for holdTime, the slot itself ends.
 func (b *Bounder) unlockAfter(s *Slot, cost int64) Cause {
@@ -269,7 +422,7 @@
 		s.cost = cost
 	}
 	b.mu.Unlock()
-	b.evictAll(victims)
+	b.evictAll(victims, TooMuchMemory)
 	if ended {
 		return TooMuchMemory
 	}
@@ -293,9 +446,9 @@
 	b.garbage = b.garbage[n:]
 }
 
-func (b *Bounder) evictAll(victims []*Slot) {
+func (b *Bounder) evictAll(victims []*Slot, cause Cause) {
 	for _, v := range victims {
-		b.evicted(v, TooMuchMemory)
+		b.evicted(v, cause)
 	}
 }
 
@@ -317,7 +470,7 @@
 		return
 	}
 	b.used -= s.cost
-	s.cost, s.head, s.phase, s.answered = 0, head{}, reading, true
+	s.cost, s.head, s.phase, s.answered, s.awaitsBody = 0, head{}, reading, true, false
 	s.waiting.enter(&s.gate.idle, s)
 }
 
@@ -354,7 +507,8 @@
 func (s *Slot) end() {
 	b := s.gate.bounder
 	s.release()
-	s.phase, s.cost = ended, 0
+	b.writing -= s.writing
+	s.phase, s.cost, s.writing = ended, 0, 0
 	b.open--
 	s.gate.open--
 }
@@ -381,7 +535,10 @@
 	element *list.Element
 }
 
-func (p *place) enter(l *list.List, s *Slot) { p.list, p.element = l, l.PushBack(s) }
+func (p *place) enter(l *list.List, s *Slot) {
+	p.leave()
+	p.list, p.element = l, l.PushBack(s)
+}
 
 func (p *place) leave() {
 	if p.list != nil {
--- a/pkg/bounder/bounder_test.go
+++ b/pkg/bounder/bounder_test.go
@@ -48,7 +48,7 @@
 	g := b.Gate()
 	runs := g.Admit("runs")
 	qt.Assert(t, runs.Read(longHead(20<<10)), qt.Equals, Cause(""))
-	qt.Assert(t, runs.Begin(16<<10), qt.Equals, Cause(""))
+	qt.Assert(t, runs.Begin(16<<10, false), qt.Equals, Cause(""))
 	clock.Advance(holdTime)
 	qt.Assert(t, g.Admit("new").Read(longHead(20<<10)), qt.Equals, TooMuchMemory)
 	qt.Assert(t, e.list, qt.HasLen, 0)
@@ -63,23 +63,23 @@
 	b := New(Limits{Connections: 8}, &timekeeper.Manual{}, e.add)
 	peer, g := b.Gate(), b.Gate()
 	p := peer.Admit("peer")
-	p.Begin(0)
+	p.Begin(0, false)
 	p.Idle()
 	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g"} {
 		s := g.Admit(name)
 		if name != "c" {
-			s.Begin(0)
+			s.Begin(0, false)
 		}
 		if name == "b" {
 			s.Idle()
 		}
 	}
-	qt.Assert(t, g.Admit("h").Begin(0), qt.Equals, Cause(""))
-	qt.Assert(t, g.Admit("i").Begin(0), qt.Equals, Cause(""))
+	qt.Assert(t, g.Admit("h").Begin(0, false), qt.Equals, Cause(""))
+	qt.Assert(t, g.Admit("i").Begin(0, false), qt.Equals, Cause(""))
 	qt.Assert(t, g.Admit("j"), qt.IsNil)
 	qt.Assert(t, b.Gate().Admit("k"), qt.IsNil)
 	qt.Assert(t, e.list, qt.DeepEquals, []string{"c connections", "b connections"})
-	qt.Assert(t, p.Begin(0), qt.Equals, Cause(""))
+	qt.Assert(t, p.Begin(0, false), qt.Equals, Cause(""))
 }
 
 // TestLinesOfBodiesAreNotCounted guards against a short head that is refused for the lines of
@@ -110,7 +110,7 @@
 	s = g.Admit("runs")
 	for range 10 {
 		qt.Assert(t, s.Read([]byte("GET / HTTP/1.1\r\nLong: "+strings.Repeat("x", 8<<10)+"\r\n\r\n")), qt.Equals, Cause(""))
-		qt.Assert(t, s.Begin(0), qt.Equals, Cause(""))
+		qt.Assert(t, s.Begin(0, false), qt.Equals, Cause(""))
 		s.Idle()
 	}
 }
@@ -125,7 +125,7 @@
 	g := b.Gate()
 	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
 		s := g.Admit(name)
-		s.Begin(0)
+		s.Begin(0, false)
 		qt.Assert(t, s.Linger(), qt.IsTrue)
 	}
 	g.Admit("reads")
@@ -154,3 +154,65 @@
 	connections, _ = b.Usage()
 	qt.Assert(t, connections, qt.Equals, 0)
 }
+
+// TestStalledCallersHoldAllPlaces guards against callers that send a body slowly, or do not
+// read their answers, and hold all places: they must give way after a second without
+// progress, a caller that makes progress and one that waits for the target must not.
+func TestStalledCallersHoldAllPlaces(t *testing.T) {
+	clock, e := &timekeeper.Manual{}, &evictions{}
+	b := New(Limits{Connections: 8}, clock, e.add)
+	g := b.Gate()
+	admit := func(name string, hasBody bool) *Slot {
+		s := g.Admit(name)
+		qt.Assert(t, s.Begin(0, hasBody), qt.Equals, Cause(""))
+		return s
+	}
+	trickles, uploads, reads, waits := admit("trickles", true), admit("uploads", true), admit("reads", false), admit("waits", true)
+	waits.EndBody()
+	for range 3 {
+		admit("runs", false)
+	}
+	reads.WaitWrite(100)
+	for range 6 {
+		qt.Assert(t, trickles.WaitRead(), qt.IsTrue)
+		qt.Assert(t, uploads.WaitRead(), qt.IsTrue)
+		qt.Assert(t, waits.WaitRead(), qt.IsFalse)
+		clock.Advance(holdTime / 5)
+		trickles.EndRead(1)
+		uploads.EndRead(progressBytes)
+	}
+	trickles.WaitRead()
+	uploads.WaitRead()
+	qt.Check(t, g.Admit("first").Begin(0, false), qt.Equals, Cause(""))
+	qt.Check(t, g.Admit("second").Begin(0, false), qt.Equals, Cause(""))
+	qt.Check(t, g.Admit("third"), qt.IsNil)
+	qt.Check(t, e.list, qt.ContentEquals, []string{"reads connections", "trickles connections"})
+	clock.Advance(maxStallTime)
+	b.EndStalled()
+	qt.Check(t, e.list[2:], qt.DeepEquals, []string{"uploads slow"})
+}
+
+// TestUnreadAnswersTakeMemory guards against memory taken by answers that are held for callers
+// that do not read: those that have taken nothing for a second give way, answers that
+// have just begun do not.
+func TestUnreadAnswersTakeMemory(t *testing.T) {
+	const answerBytes = 64 << 10
+	clock, e := &timekeeper.Manual{}, &evictions{}
+	b := New(Limits{Bytes: 2 * answerBytes}, clock, e.add)
+	g := b.Gate()
+	write := func(name string) *Slot {
+		s := g.Admit(name)
+		s.Begin(0, false)
+		s.WaitWrite(answerBytes)
+		return s
+	}
+	write("old")
+	clock.Advance(holdTime)
+	for _, name := range []string{"a", "b", "c"} {
+		write(name)
+	}
+	qt.Check(t, e.list, qt.DeepEquals, []string{"old memory"})
+	ended := write("d")
+	ended.EndWrite(answerBytes, answerBytes)
+	qt.Check(t, b.writing, qt.Equals, int64(3*answerBytes))
+}
--- a/pkg/server/bounded_listener.go
+++ b/pkg/server/bounded_listener.go
@@ -61,7 +61,11 @@
 
 // Read implements net.Conn. It ends a connection that has to, with a refusal if it can.
 func (c *boundedConn) Read(p []byte) (int, error) {
+	waits := c.slot.WaitRead()
 	n, err := c.Conn.Read(p)
+	if waits {
+		c.slot.EndRead(n)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -74,6 +78,14 @@
 	return 0, io.EOF
 }
 
+// Write implements net.Conn.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	c.slot.WaitWrite(len(p))
+	n, err := c.Conn.Write(p)
+	c.slot.EndWrite(len(p), n)
+	return n, err
+}
+
 // Close implements net.Conn. While the connection lingers it counts, and gives way to
 // others.
 func (c *boundedConn) Close() error {
@@ -188,8 +200,12 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	cause := c.slot.Begin(forwarder.BufferedBytes(r))
+	hasBody := r.Body != nil && r.Body != http.NoBody
+	cause := c.slot.Begin(forwarder.BufferedBytes(r), hasBody)
 	if cause == "" {
+		if hasBody {
+			r.Body = &boundedBody{ReadCloser: r.Body, slot: c.slot}
+		}
 		h.next.ServeHTTP(w, r)
 		return
 	}
@@ -198,6 +214,22 @@
 	h.refuse(w, boundRefusal(cause))
 }
 
+// boundedBody is the body of a request. Its end is recorded, since a connection that is read
+// after it waits for nothing that the caller owes.
+type boundedBody struct {
+	io.ReadCloser
+	slot *bounder.Slot
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.slot.EndBody()
+	}
+	return n, err
+}
+
 // evict closes a connection that gives way to others.
 func (s *Server) evict(slot *bounder.Slot, cause bounder.Cause) {
 	s.boundsLog.count(cause)
--- a/pkg/server/bounds_log.go
+++ b/pkg/server/bounds_log.go
@@ -15,8 +15,8 @@
 // boundsLog counts and logs the connections that ended because of the bounds on heads and
 // connections.
 type boundsLog struct {
-	server                     *Server
-	lines, memory, connections atomic.Int64
+	server                           *Server
+	lines, memory, connections, slow atomic.Int64
 }
 
 func (l *boundsLog) count(cause bounder.Cause) {
@@ -28,21 +28,26 @@
 		l.memory.Add(1)
 	case bounder.TooManyConnections:
 		l.connections.Add(1)
+	case bounder.TooSlow:
+		l.slow.Add(1)
 	}
 }
 
 // Run implements Controller.
 func (l *boundsLog) Run(ctx context.Context) {
 	if l.server.bounds != nil {
-		l.server.runEvery(ctx, boundsLogInterval, func(context.Context) { l.step() })
+		l.server.runEvery(ctx, boundsLogInterval, func(context.Context) {
+			l.server.bounds.EndStalled()
+			l.step()
+		})
 	}
 }
 
 func (l *boundsLog) step() {
-	lines, memory, connections := l.lines.Swap(0), l.memory.Swap(0), l.connections.Swap(0)
-	if lines+memory+connections == 0 {
+	lines, memory, connections, slow := l.lines.Swap(0), l.memory.Swap(0), l.connections.Swap(0), l.slow.Swap(0)
+	if lines+memory+connections+slow == 0 {
 		return
 	}
 	open, bytes := l.server.bounds.Usage()
-	l.server.log.Warn("bounded", "lines", lines, "memory", memory, "connections", connections, "open", open, "bytes", bytes)
+	l.server.log.Warn("bounded", "lines", lines, "memory", memory, "connections", connections, "slow", slow, "open", open, "bytes", bytes)
 }
--- a/test/outside_limits_test.go
+++ b/test/outside_limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,6 +35,14 @@
 	// crowdTime is how long a crowd stays, and dripInterval how often a slow caller sends.
 	crowdTime    = 2 * time.Second
 	dripInterval = 200 * time.Millisecond
+	// heldConnections is how many connections a process may have in tests of callers that
+	// hold them, and heldCrowd the number of such callers, more than that.
+	heldConnections = 64
+	heldCrowd       = 100
+	// smallSegment and smallWindow, in bytes, are those of callers that never read: the
+	// kernel then takes few of the answers for them.
+	smallSegment = 536
+	smallWindow  = 2 << 10
 	// heldHeadBytes is how much of a head slow callers send at once: less than what
 	// net/http refuses.
 	heldHeadBytes = 31 << 10
@@ -47,6 +57,8 @@
 	first, piece string
 	slow         bool
 	size         int
+	// neverReads is set for callers that never read what they are sent.
+	neverReads bool
 
 	ctx   context.Context
 	end   context.CancelFunc
@@ -80,7 +92,11 @@
 
 // hold keeps one connection until it ends or the crowd does.
 func (c *crowd) hold() {
-	conn, err := net.DialTimeout("tcp", c.address, time.Second)
+	d := net.Dialer{Timeout: time.Second}
+	if c.neverReads {
+		d.Control = setSmallWindow
+	}
+	conn, err := d.Dial("tcp", c.address)
 	if err != nil {
 		return
 	}
@@ -95,6 +111,17 @@
 	}
 }
 
+// setSmallWindow makes the kernel hold little of what was sent to a caller.
+func setSmallWindow(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, smallSegment),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow))
+	})
+	return errors.Join(err, optionErr)
+}
+
 // shortLines returns header lines without values, each with another name, of a total length.
 func shortLines(length int) string {
 	var b strings.Builder
@@ -111,11 +138,15 @@
 	return len(list)
 }
 
-// crowdNode starts a node, with all its listeners, that serves requests.
-func crowdNode(t *testing.T) *node {
+// crowdNode starts a node, with all its listeners, that serves requests. connections is the
+// number of connections from callers and other nodes, or 0 for the default.
+func crowdNode(t *testing.T, connections int) *node {
 	f := newFleet(t)
 	n := f.add("a", "east", true, "-service", "back")
-	n.extraSettings = map[string]any{"memory": crowdMemory, "links": "plain", "ready": addresses.Next(), "metrics": addresses.Next()}
+	n.extraSettings = map[string]any{
+		"memory": crowdMemory, "links": "plain", "ready": addresses.Next(), "metrics": addresses.Next(),
+		"callers": map[string]any{"connections": connections},
+	}
 	f.start()
 	n.declare(`{
   "centres": {"east": {"witnesses": ["a"]}},
@@ -126,11 +157,15 @@
 	return n
 }
 
-// controlNode starts a node that serves the control calls of the users' platform.
-func controlNode(t *testing.T) *node {
+// controlNode starts a node that serves the control calls of the users' platform, with
+// connections as in crowdNode.
+func controlNode(t *testing.T, connections int) *node {
 	f := newFleet(t)
 	n := f.add("a", "east", true)
-	n.extraSettings = map[string]any{"memory": crowdMemory, "links": "plain", "interface": "platform", "control": addresses.Next()}
+	n.extraSettings = map[string]any{
+		"memory": crowdMemory, "links": "plain", "interface": "platform", "control": addresses.Next(),
+		"callers": map[string]any{"connections": connections},
+	}
 	n.startDaemon()
 	f.waitUntil("the node answers at its control address", func() bool { return answers(n.extraSettings["control"].(string)) })
 	return n
@@ -146,18 +181,35 @@
 	return response.StatusCode < http.StatusInternalServerError
 }
 
+// crowdListener is a listener to which crowds come.
+type crowdListener struct {
+	name, address string
+	node          *node
+}
+
+// happens reports whether a condition becomes true within waitTimeout.
+func happens(ready func() bool) bool {
+	for end := time.Now().Add(waitTimeout); !ready(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// listeners returns the listeners of a crowdNode and of a controlNode.
+func listeners(n, other *node) []crowdListener {
+	return []crowdListener{
+		{"listen", n.listen, n}, {"peer", n.peer, n}, {"admin", n.admin, n}, {"control", other.extraSettings["control"].(string), other},
+		{"ready", n.extraSettings["ready"].(string), n}, {"metrics", n.extraSettings["metrics"].(string), n},
+	}
+}
+
 // resists lets a crowd come to each listener, and checks that the process lives, that its
 // memory and its open descriptors stay bounded, and that it serves afterwards.
 func resists(t *testing.T, size int, first, piece string, slow bool) {
-	n := crowdNode(t)
-	other := controlNode(t)
-	for _, l := range []struct {
-		name, address string
-		node          *node
-	}{
-		{"listen", n.listen, n}, {"peer", n.peer, n}, {"admin", n.admin, n}, {"control", other.extraSettings["control"].(string), other},
-		{"ready", n.extraSettings["ready"].(string), n}, {"metrics", n.extraSettings["metrics"].(string), n},
-	} {
+	n, other := crowdNode(t, 0), controlNode(t, 0)
+	for _, l := range listeners(n, other) {
 		t.Run(l.name, func(t *testing.T) {
 			c := &crowd{address: l.address, first: first, piece: piece, slow: slow, size: size}
 			memory, descriptors := 0, 0
@@ -175,6 +227,22 @@
 	}
 }
 
+// servesMeanwhile lets a crowd that holds more connections than allowed come to each listener,
+// and checks that others are answered there while it stays.
+func servesMeanwhile(t *testing.T, first, piece string, slow, neverReads bool) {
+	n, other := crowdNode(t, heldConnections), controlNode(t, heldConnections)
+	for _, l := range listeners(n, other) {
+		t.Run(l.name, func(t *testing.T) {
+			c := &crowd{address: l.address, first: first, piece: piece, slow: slow, size: heldCrowd, neverReads: neverReads}
+			c.start()
+			defer c.stop()
+			time.Sleep(crowdTime)
+			qt.Check(t, happens(func() bool { return answers(l.address) }), qt.IsTrue, qt.Commentf("the listener answers meanwhile"))
+			qt.Check(t, happens(func() bool { return n.send("GET", "/open", nil, nil).status == 200 }), qt.IsTrue, qt.Commentf("an ordinary request is served meanwhile"))
+		})
+	}
+}
+
 const crowdRequestLine = "GET /open/x HTTP/1.1\r\nHost: x\r\n"
 
 // TestHeldLongLines guards against memory taken by many heads with a long line that do not end.
@@ -215,12 +283,24 @@
 	resists(t, crowdConnections, "\r\n", "\r\n", true)
 }
 
+// TestSlowBodiesHoldConnections guards against callers that send the bodies of their requests
+// slowly and hold all places, so that others get no answer.
+func TestSlowBodiesHoldConnections(t *testing.T) {
+	servesMeanwhile(t, "POST /open/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n", "x", true, false)
+}
+
+// TestUnreadAnswersHoldConnections guards against callers that never read their answers and
+// hold all places, so that others get no answer.
+func TestUnreadAnswersHoldConnections(t *testing.T) {
+	servesMeanwhile(t, "", strings.Repeat("GET /none HTTP/1.1\r\nHost: x\r\n\r\n", 20), false, true)
+}
+
 // TestRequestsWithinLimitsAreServed guards against bounds that a single caller inside the
 // declared limits reaches: heads of 16 KiB, in one line and in as many lines as they can
 // have, that come within 3 s, and bodies of 64 MiB.
 func TestRequestsWithinLimitsAreServed(t *testing.T) {
 	const headBytes, bodyBytes = 16 << 10, 64 << 20
-	n := crowdNode(t)
+	n := crowdNode(t, 0)
 	for name, lines := range map[string]string{
 		"one line":    "Long: " + strings.Repeat("x", headBytes-len(crowdRequestLine)-12) + "\r\n",
 		"short lines": strings.Repeat("a:\n", (headBytes-len(crowdRequestLine)-2)/3),
