Bounds: connections that requests open to targets and other nodes

Cause: connections of callers were bounded to 3/4 of the descriptors, those that their requests open to other nodes and to the target were not, nor those that stay in pools for a minute. 2,400 callers that send one request after the other, or misbehave only after an answer, took 3,003 and 2,683 descriptors where the process has 2,139.

Change: a budget of connections over all pools of the data path, 3/20 of the descriptors by default (callers.outgoing). At the limit an idle connection is closed; without one the request is refused as not run, and the target counts as neither unreachable nor lost, since it is not to blame.

Ruled out: fewer connections of callers, as one request may need two or three.

--- a/pkg/configurer/callers.go
+++ b/pkg/configurer/callers.go
@@ -15,6 +15,9 @@
 	Memory int `json:"memory"`
 	// Lines is the number of lines of a head.
 	Lines int `json:"lines"`
+	// Outgoing is the number of connections to targets and other nodes that their requests
+	// open.
+	Outgoing int `json:"outgoing"`
 }
 
 const (
@@ -25,6 +28,9 @@
 	// incomingShare is the part of the descriptors for connections from callers and other
 	// nodes. The rest is for those to targets and other nodes, and for files.
 	incomingShare = 3.0 / 4
+	// outgoingShare is the part for connections that requests open to targets and other
+	// nodes. What is left is for messages between nodes and for files.
+	outgoingShare = 3.0 / 20
 	// headsShare is the part of the memory for heads and short bodies. About a third goes
 	// to the rest of the process, another to the buffers of connections.
 	headsShare = 1.0 / 8
@@ -55,12 +61,23 @@
 	return limits
 }
 
+// OutgoingLimit returns the bound on connections to targets and other nodes, or 0 for none.
+func (s *Settings) OutgoingLimit() int {
+	if s.Callers.Outgoing != 0 || s.Memory <= 0 {
+		return s.Callers.Outgoing
+	}
+	return int(float64(s.Memory) * outgoingShare * smallestMachineDescriptors / smallestMachineMemory)
+}
+
 // checkCallers checks Callers.
 func (s *Settings) checkCallers(d *decoder.Document) error {
 	c := s.Callers
 	if c.Connections < 0 || c.Connections > maxConnections {
 		return d.Problem("callers/connections", "is %d; 1 to %d, or 0 for the default, would be right", c.Connections, maxConnections)
 	}
+	if c.Outgoing < 0 || c.Outgoing > maxConnections {
+		return d.Problem("callers/outgoing", "is %d; 1 to %d, or 0 for the default, would be right", c.Outgoing, maxConnections)
+	}
 	if c.Memory < 0 || (s.Memory > 0 && c.Memory > s.Memory/2) {
 		return d.Problem("callers/memory", "is %d; MiB up to half of memory, or 0 for the default, would be right", c.Memory)
 	}
--- a/pkg/connector/connector.go
+++ b/pkg/connector/connector.go
@@ -77,6 +77,8 @@
 	clock timekeeper.Clock
 	// idleTimeout applies to connections whose other end states none.
 	idleTimeout time.Duration
+	// budget bounds the connections together with those of other pools; it may be nil.
+	budget *dialer.Budget
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -90,6 +92,31 @@
 	return &Connector{clock: clock, idleTimeout: idle, idle: map[string][]*conn{}}
 }
 
+// UseBudget bounds the connections by a budget, which may close idle ones. It must be called
+// before the first request.
+func (c *Connector) UseBudget(b *dialer.Budget) {
+	c.budget = b
+	b.AddPool(c.closeIdle)
+}
+
+// closeIdle closes one idle connection, and reports whether there was one.
+func (c *Connector) closeIdle() bool {
+	c.mu.Lock()
+	var idle *conn
+	for address, list := range c.idle {
+		if len(list) > 0 {
+			idle, c.idle[address] = list[0], list[1:]
+			break
+		}
+	}
+	c.mu.Unlock()
+	if idle == nil {
+		return false
+	}
+	idle.Close()
+	return true
+}
+
 // Dialed returns how many connections were made.
 func (c *Connector) Dialed() int64 {
 	c.mu.Lock()
@@ -106,6 +133,17 @@
 	writer      *bufio.Writer
 	used        bool
 	expires     time.Time
+	budget      *dialer.Budget
+	closed      atomic.Bool
+}
+
+// Close implements net.Conn. It returns the place in the budget.
+func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	defer c.budget.Release()
+	return c.Conn.Close()
 }
 
 // headerLimitReader fails once a response's status line and headers exceed
@@ -169,7 +207,7 @@
 		}
 		cn.Close()
 	}
-	raw, err := dialer.Dial(ctx, "tcp", address)
+	raw, err := c.budget.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -178,7 +216,7 @@
 	c.mu.Unlock()
 	headerLimit := &headerLimitReader{reader: raw, remaining: maxHeaderBytes}
 	return &conn{
-		Conn: raw, address: address, headerLimit: headerLimit,
+		Conn: raw, address: address, headerLimit: headerLimit, budget: c.budget,
 		reader: bufio.NewReaderSize(headerLimit, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
 	}, nil
 }
--- a/pkg/connector/connector_test.go
+++ b/pkg/connector/connector_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/primrosewall/primrosewall/pkg/connector"
+	"github.com/primrosewall/primrosewall/pkg/dialer"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
 )
 
@@ -256,3 +257,39 @@
 		})
 	}
 }
+
+// TestConnectionsLeakFromBudget guards against places in a budget that are not returned when a
+// connection ends, in whichever way, and against idle connections that keep others from being
+// made.
+func TestConnectionsLeakFromBudget(t *testing.T) {
+	answers := func(c net.Conn, r *http.Request, _ string) bool {
+		id := r.Header.Get("Id")
+		switch id {
+		case "breaks":
+			return false
+		case "foreign":
+			_, err := io.WriteString(c, strings.Repeat(reply("other", "x"), 4))
+			return err == nil
+		case "short":
+			_, err := io.WriteString(c, strings.TrimSuffix(reply(id, "xy"), "y"))
+			return err != nil
+		}
+		_, err := io.WriteString(c, reply(id, "ok"))
+		return err == nil
+	}
+	first, second := newScriptedTarget(t, answers), newScriptedTarget(t, answers)
+	budget := dialer.NewBudget(1)
+	c := connector.New(timekeeper.BootTimeClock{}, connector.TargetIdleTimeout)
+	c.UseBudget(budget)
+	for range 3 {
+		for _, id := range []string{"breaks", "foreign", "short", "ok"} {
+			for _, s := range []*scriptedTarget{first, second} {
+				_, err := get(t, c, s, id)
+				qt.Assert(t, err == nil, qt.Equals, id == "ok", qt.Commentf("%s: %v", id, err))
+				var full *dialer.FullError
+				qt.Assert(t, errors.As(err, &full), qt.IsFalse, qt.Commentf("%s", id))
+			}
+		}
+	}
+	qt.Assert(t, budget.Open(), qt.Equals, 1)
+}
--- a/pkg/forwarder/answered_retry_test.go
+++ b/pkg/forwarder/answered_retry_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/primrosewall/primrosewall/pkg/dialer"
 	"github.com/primrosewall/primrosewall/pkg/retrier"
 	"github.com/primrosewall/primrosewall/pkg/router"
 	"github.com/primrosewall/primrosewall/pkg/timekeeper"
@@ -101,3 +102,41 @@
 		qt.Check(t, peers.attempts <= requests+3*len(targets), qt.IsTrue, qt.Commentf("%d attempts", peers.attempts))
 	})
 }
+
+// connectionlessPeers stands for a node that may open no more connections.
+type connectionlessPeers struct{ attempts int }
+
+// RoundTrip implements http.RoundTripper.
+func (p *connectionlessPeers) RoundTrip(*http.Request) (*http.Response, error) {
+	p.attempts++
+	return nil, &dialer.FullError{Limit: 1}
+}
+
+// TestMissingConnectionsEjectTargets guards against targets that count as unreachable, since
+// this node may open no more connections: the request is refused as not run, at the first
+// target, and the targets stay in use.
+func TestMissingConnectionsEjectTargets(t *testing.T) {
+	n := newStaleNode(t)
+	n.declare(t, 2, declarationWithKey(""))
+	targets := []*control.Entry{{Instance: "1", Centre: "west", Address: "west", Service: "hello", Slots: 9, State: control.State_STATE_ALIVE}}
+	peers := &connectionlessPeers{}
+	n.forwarder.deps.Router = router.New(timekeeper.RuntimeClock{}, "west0", "west", rand.New(rand.NewPCG(1, 1)))
+	n.forwarder.deps.Targets = func(string) []*control.Entry { return targets }
+	n.forwarder.deps.PeerTransport = peers
+	n.forwarder.deps.Retries = retrier.DefaultBounds
+	const requests = 5
+	for range requests {
+		w := httptest.NewRecorder()
+		x := &Exchange{
+			writer: w, request: httptest.NewRequest(http.MethodGet, "/hello", nil), config: n.config.Current(),
+			hop: &control.Hop{Service: "hello", Id: "r1"}, dialect: Native{}, budget: retrier.NewBudget(3),
+			deadline: time.Now().Add(time.Minute), bufferedBody: []byte{},
+		}
+		(&sendFilter{n.forwarder}).Serve(x, nil)
+		qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, w.Header().Get(HeaderOutcome), qt.Equals, string(NotRun))
+		qt.Check(t, w.Header().Get(HeaderReason), qt.Equals, string(ReasonLoad))
+	}
+	qt.Check(t, peers.attempts, qt.Equals, requests)
+	qt.Check(t, n.forwarder.deps.Router.HasUntried(targets, nil), qt.IsTrue)
+}
--- a/pkg/forwarder/deliver_filter.go
+++ b/pkg/forwarder/deliver_filter.go
@@ -156,6 +156,9 @@
 		inFlight.deliveryEnd = endNotSent
 		x.ticket.RecordNoAnswer()
 		x.refuse(refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent"))
+	case !sent && isFull(err):
+		inFlight.deliveryEnd = endNotSent
+		x.refuse(connectionsRefusal(err))
 	case !sent:
 		inFlight.deliveryEnd = endNotSent
 		x.ticket.RecordNoAnswer()
--- a/pkg/forwarder/peer_transport.go
+++ b/pkg/forwarder/peer_transport.go
@@ -31,6 +31,17 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	budget  *dialer.Budget
+	closed  atomic.Bool
+}
+
+// Close implements net.Conn. It returns the place in the budget.
+func (c *countingConn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	defer c.budget.Release()
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn. It counts the bytes before it writes them: even when
@@ -40,21 +51,27 @@
 	return c.Conn.Write(p)
 }
 
-func dialCounting(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := dialer.Dial(ctx, network, address)
-	if err != nil {
-		return nil, err
+// NewPeerTransport returns the transport for requests to other nodes, whose connections a
+// budget bounds; it may be nil.
+func NewPeerTransport(tlsConfig *tls.Config, budget *dialer.Budget) *http.Transport {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := budget.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: c, budget: budget}, nil
 	}
-	return &countingConn{Conn: c}, nil
-}
-
-// NewPeerTransport returns the transport for requests to other nodes.
-func NewPeerTransport(tlsConfig *tls.Config) *http.Transport {
-	return &http.Transport{
-		DialContext: dialCounting, TLSClientConfig: tlsConfig, TLSHandshakeTimeout: tlsHandshakeTimeout,
+	t := &http.Transport{
+		DialContext: dial, TLSClientConfig: tlsConfig, TLSHandshakeTimeout: tlsHandshakeTimeout,
 		MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: PeerIdleTimeout, DisableCompression: true,
 		ExpectContinueTimeout: continueTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
+	budget.AddPool(func() bool {
+		before := budget.Open()
+		t.CloseIdleConnections()
+		return budget.Open() < before
+	})
+	return t
 }
 
 // sendTracker records whether any byte of a request may have been sent.
--- a/pkg/forwarder/send_filter.go
+++ b/pkg/forwarder/send_filter.go
@@ -14,6 +14,7 @@
 
 	"github.com/primrosewall/primrosewall/pkg/admitter"
 	"github.com/primrosewall/primrosewall/pkg/connector"
+	"github.com/primrosewall/primrosewall/pkg/dialer"
 	"github.com/primrosewall/primrosewall/pkg/router"
 	"github.com/primrosewall/primrosewall/proto/control"
 )
@@ -143,7 +144,7 @@
 			return s.passOverCentre(x, a.target.Centre, tried)
 		}
 		if a.routerResult == router.Abandoned {
-			// This node stops: another target would not answer in time either.
+			// This node stops, or has no connection left: another target would not help.
 			return false
 		}
 		if r.refusal.Reason != ReasonDeclined {
@@ -342,6 +343,10 @@
 		a.result = &notRunResult{refusal: callerGoneRefusal(NotRun)}
 	case !sent && deadlinePassed:
 		a.result = &notRunResult{refusal: refuse(http.StatusGatewayTimeout, ReasonDeadline, 0, "the deadline passed before the request was sent")}
+	case !sent && isFull(err):
+		// No target would be reached, and none is to blame.
+		a.routerResult = router.Abandoned
+		a.result = &notRunResult{refusal: connectionsRefusal(err)}
 	case !sent:
 		a.routerResult = router.Unreachable
 		a.result = &notRunResult{refusal: refuse(http.StatusServiceUnavailable, ReasonTarget, noTargetRetryDelay, "the node of instance %s cannot be reached", a.target.Instance)}
@@ -356,6 +361,18 @@
 	a.filter.forwarder.logAttempt(x, a, err)
 }
 
+// isFull reports whether this node may open no more connections.
+func isFull(err error) bool {
+	var full *dialer.FullError
+	return errors.As(err, &full)
+}
+
+// connectionsRefusal returns the refusal for a request that needs a connection which this
+// node may not open.
+func connectionsRefusal(err error) *Refusal {
+	return refuse(http.StatusServiceUnavailable, ReasonLoad, shedRetryDelay, "this node: %v", err)
+}
+
 // handleResponse handles the response of the target's node: a refusal or the
 // target's answer. It also reads the unused retries, the admission level, the load
 // and the work from the headers. took is the time until the response began.
--- a/pkg/server/gauges.go
+++ b/pkg/server/gauges.go
@@ -28,6 +28,7 @@
 		{Name: "primrose_suspects", Help: "Requests that ran at a crash of a target.", Read: func() float64 { suspects, _ := s.quarantine.Count(); return float64(suspects) }},
 		{Name: "primrose_barred", Help: "Requests that are refused, as they ran at more than one crash.", Read: func() float64 { _, barred := s.quarantine.Count(); return float64(barred) }},
 		{Name: "primrose_connections", Help: "Connections open at all listeners, where they are bounded.", Read: func() float64 { connections, _ := s.boundsUsage(); return float64(connections) }},
+		{Name: "primrose_outgoing", Help: "Connections open to targets and other nodes for requests, where they are bounded.", Read: func() float64 { return float64(s.outgoing.Open()) }},
 		{Name: "primrose_lingering", Help: "Connections closed for writing that wait for their callers to close.", Read: func() float64 { return float64(s.closer.Lingering()) }},
 		{Name: "primrose_linger_cut", Help: "Such connections closed before their callers, since the start.", Read: func() float64 { return float64(s.closer.Cut()) }},
 		{Name: "primrose_head_bytes", Help: "Memory of heads and short bodies as counted for their bound.", Read: func() float64 { _, bytes := s.boundsUsage(); return float64(bytes) }},
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/primrosewall/primrosewall/pkg/connector"
 	"github.com/primrosewall/primrosewall/pkg/declarer"
 	"github.com/primrosewall/primrosewall/pkg/deduplicator"
+	"github.com/primrosewall/primrosewall/pkg/dialer"
 	"github.com/primrosewall/primrosewall/pkg/enforcer"
 	"github.com/primrosewall/primrosewall/pkg/fetcher"
 	"github.com/primrosewall/primrosewall/pkg/forwarder"
@@ -116,6 +117,9 @@
 	router    *router.Router
 	forwarder *forwarder.Forwarder
 	connector *connector.Connector
+	// outgoing bounds the connections to targets and other nodes; nil if the settings name
+	// no bound.
+	outgoing *dialer.Budget
 	// drains are the drains last applied. Only applyDrains uses it.
 	drains []*control.Drain
 
@@ -291,7 +295,12 @@
 	if objectives {
 		s.admitter.UseObjectives()
 	}
+	// Idle connections to other nodes make room before those to the target, which cost it
+	// more.
+	s.outgoing = dialer.NewBudget(s.settings.OutgoingLimit())
+	peerTransport, peerConnector := forwarder.NewPeerTransport(s.sealer.Client(), s.outgoing), s.plainPeerConnector()
 	s.connector = connector.New(s.clock, connector.TargetIdleTimeout)
+	s.connector.UseBudget(s.outgoing)
 	claimer := deduplicator.NewClaimer(s.clock, s.caller, func() (uint64, []*control.Member) {
 		v := s.config.Current().Value()
 		return v.Epoch, v.Replicas
@@ -313,8 +322,8 @@
 		Limiter: s.tokens, Claimer: claimer, Admitter: s.admitter, Chains: s.chains, Objectives: objectives, CountEvent: s.countEvent, Observer: s.measurer,
 		Router:        s.router,
 		ReportWork:    byFinish,
-		PeerTransport: forwarder.NewPeerTransport(s.sealer.Client()),
-		PeerConnector: s.plainPeerConnector(),
+		PeerTransport: peerTransport,
+		PeerConnector: peerConnector,
 		PeerScheme:    s.peerScheme(), Dialect: s.iface.Dialect,
 		TargetConnector:   s.connector,
 		Service:           s.ownService,
@@ -344,7 +353,9 @@
 	if s.settings.Links != configurer.LinksPlain {
 		return nil
 	}
-	return connector.New(s.clock, forwarder.PeerIdleTimeout)
+	c := connector.New(s.clock, forwarder.PeerIdleTimeout)
+	c.UseBudget(s.outgoing)
+	return c
 }
 
 func (s *Server) peerScheme() string {
--- a/test/outside_limits_test.go
+++ b/test/outside_limits_test.go
@@ -46,6 +46,8 @@
 	// heldHeadBytes is how much of a head slow callers send at once: less than what
 	// net/http refuses.
 	heldHeadBytes = 31 << 10
+	// shortHeadBytes is how much of a head is not counted against the memory of heads.
+	shortHeadBytes = 4000
 )
 
 // crowd is a number of callers outside the limits.
@@ -59,6 +61,9 @@
 	size         int
 	// neverReads is set for callers that never read what they are sent.
 	neverReads bool
+	// request, if not empty, is sent before, and its answer is read; again and again if
+	// piece is empty.
+	request string
 
 	ctx   context.Context
 	end   context.CancelFunc
@@ -102,6 +107,14 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(c.ctx, func() { conn.Close() })()
+	if c.request != "" {
+		reader := bufio.NewReader(conn)
+		for err = ask(conn, reader, c.request); err == nil && c.piece == ""; err = ask(conn, reader, c.request) {
+		}
+		if err != nil {
+			return
+		}
+	}
 	_, err = io.WriteString(conn, c.first)
 	for err == nil {
 		if c.slow {
@@ -111,6 +124,20 @@
 	}
 }
 
+// ask sends a request and reads its answer.
+func ask(conn net.Conn, reader *bufio.Reader, request string) error {
+	if _, err := io.WriteString(conn, request); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
 // setSmallWindow makes the kernel hold little of what was sent to a caller.
 func setSmallWindow(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
@@ -211,22 +238,26 @@
 	n, other := crowdNode(t, 0), controlNode(t, 0)
 	for _, l := range listeners(n, other) {
 		t.Run(l.name, func(t *testing.T) {
-			c := &crowd{address: l.address, first: first, piece: piece, slow: slow, size: size}
-			memory, descriptors := 0, 0
-			c.start()
-			for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-				memory, descriptors = max(memory, l.node.residentMemory()), max(descriptors, l.node.openDescriptors())
-			}
-			c.stop()
-			t.Logf("%s: %d MiB, %d descriptors", l.name, memory>>20, descriptors)
-			qt.Check(t, memory <= crowdMemory<<20, qt.IsTrue, qt.Commentf("%d MiB of resident memory, %d stated", memory>>20, crowdMemory))
-			qt.Check(t, descriptors <= crowdDescriptors, qt.IsTrue, qt.Commentf("%d open descriptors", descriptors))
-			l.node.fleet.waitUntil("the listener answers", func() bool { return answers(l.address) })
-			n.fleet.waitUntil("an ordinary request is served", func() bool { return n.send("GET", "/open", nil, nil).status == 200 })
+			l.resists(t, n, &crowd{address: l.address, first: first, piece: piece, slow: slow, size: size})
 		})
 	}
 }
 
+// resists is resists for one listener; n serves the ordinary request.
+func (l crowdListener) resists(t *testing.T, n *node, c *crowd) {
+	memory, descriptors := 0, 0
+	c.start()
+	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		memory, descriptors = max(memory, l.node.residentMemory()), max(descriptors, l.node.openDescriptors())
+	}
+	c.stop()
+	t.Logf("%s: %d MiB, %d descriptors", l.name, memory>>20, descriptors)
+	qt.Check(t, memory <= crowdMemory<<20, qt.IsTrue, qt.Commentf("%d MiB of resident memory, %d stated", memory>>20, crowdMemory))
+	qt.Check(t, descriptors <= crowdDescriptors, qt.IsTrue, qt.Commentf("%d open descriptors", descriptors))
+	l.node.fleet.waitUntil("the listener answers", func() bool { return answers(l.address) })
+	n.fleet.waitUntil("an ordinary request is served", func() bool { return n.send("GET", "/open", nil, nil).status == 200 })
+}
+
 // servesMeanwhile lets a crowd that holds more connections than allowed come to each listener,
 // and checks that others are answered there while it stays.
 func servesMeanwhile(t *testing.T, first, piece string, slow, neverReads bool) {
@@ -283,6 +314,26 @@
 	resists(t, crowdConnections, "\r\n", "\r\n", true)
 }
 
+// TestServedCallersOpenDescriptors guards against descriptors that the process opens to other
+// nodes and to its target for callers that it serves: more callers than it has descriptors
+// for send one request after the other, or get an answer and then send heads or empty lines
+// without end.
+func TestServedCallersOpenDescriptors(t *testing.T) {
+	n := crowdNode(t, 0)
+	l := crowdListener{"listen", n.listen, n}
+	for name, c := range map[string]*crowd{
+		"requests":    {},
+		"long lines":  {first: crowdRequestLine + "Long: " + strings.Repeat("x", heldHeadBytes), piece: "x", slow: true},
+		"short heads": {first: crowdRequestLine + "Long: " + strings.Repeat("x", shortHeadBytes), piece: "x", slow: true},
+		"empty lines": {piece: strings.Repeat("\r\n", 8<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.address, c.size, c.request = n.listen, crowdConnections, crowdRequestLine+"\r\n"
+			l.resists(t, n, c)
+		})
+	}
+}
+
 // TestSlowBodiesHoldConnections guards against callers that send the bodies of their requests
 // slowly and hold all places, so that others get no answer.
 func TestSlowBodiesHoldConnections(t *testing.T) {
