Queue: looked through only when a timeout may have passed

What it cost: with a full queue each arrival copied all that waited, 5.4 µs and 4.8 KB of garbage with 260 waiting, of about 80 µs that a request costs at its target's node.

Cause: each arrival took the waiters out whose queue timeout had passed, by rebuilding the lists, though each waiter has a timer of its own and hardly any is left. Now the queue knows when the first may pass.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -306,6 +306,7 @@
 	if w.dueAt.IsZero() {
 		w.expiresAt = w.since.Add(a.queueTimeout(w.paced, w.since))
 	}
+	a.queue.noteExpiry(w)
 	if a.queue.size <= a.maxQueueLength(w.since) {
 		return nil
 	}
--- a/pkg/admitter/queue.go
+++ b/pkg/admitter/queue.go
@@ -49,6 +49,9 @@
 	// whatever their rank: rejecting one wastes the work already spent. By default the
 	// rank comes first.
 	downstreamFirst bool
+	// nextExpiry is no later than when the first queue timeout passes; zero if nothing
+	// waits, or a waiter may have one that was not noted.
+	nextExpiry time.Time
 }
 
 // class returns the class of a waiter.
@@ -165,9 +168,27 @@
 	return q.extract(func(*waiter) bool { return true })
 }
 
-// expire removes and returns the waiters whose queue timeout has passed.
+// noteExpiry notes the queue timeout of a waiter in the queue.
+func (q *queue) noteExpiry(w *waiter) {
+	if q.nextExpiry.IsZero() || w.expiresAt.Before(q.nextExpiry) {
+		q.nextExpiry = w.expiresAt
+	}
+}
+
+// expire removes and returns the waiters whose queue timeout has passed. It looks at them
+// only if there may be one.
 func (q *queue) expire(now time.Time) []*waiter {
-	return q.extract(func(w *waiter) bool { return w.expiresAt.Before(now) })
+	if q.size == 0 || now.Before(q.nextExpiry) {
+		return nil
+	}
+	q.nextExpiry = time.Time{}
+	return q.extract(func(w *waiter) bool {
+		if w.expiresAt.Before(now) {
+			return true
+		}
+		q.noteExpiry(w)
+		return false
+	})
 }
 
 // extract removes and returns the waiters that match.
