Level: the overload simulation draws hashes before it starts goroutines

Cause: the goroutine of each request drew its hash from the generator from which the loop draws arrivals. The product is not concerned. The hash is drawn with the arrival now, and a counter that all goroutines wrote and nothing read is gone; bounds and loads are as before.

--- a/pkg/admitter/overload_test.go
+++ b/pkg/admitter/overload_test.go
@@ -21,8 +21,8 @@
 	delay    time.Duration
 	// levels holds the level at the beginning of each step.
 	levels []Priority
-	// arrived and passed count the requests at the entry nodes, begun those that got a slot.
-	arrived, passed, begun float64
+	// arrived and passed count the requests at the entry nodes.
+	arrived, passed float64
 }
 
 const (
@@ -51,13 +51,13 @@
 		return
 	}
 	s.passed++
+	request := Request{Priority: NewPriority(rank, false, s.random.Uint32()), Weight: 1 / passing}
 	go func() {
 		time.Sleep(s.delay / 2)
-		ticket, err := s.admitter.AdmitRequest(context.Background(), Request{Priority: NewPriority(rank, false, s.random.Uint32()), Weight: 1 / passing})
+		ticket, err := s.admitter.AdmitRequest(context.Background(), request)
 		if err != nil {
 			return
 		}
-		s.begun++
 		time.Sleep(overloadSlotTime)
 		ticket.Done(0, false)
 	}()
